Add the workspace, the core types and the messages between modules

Cause: the repository was empty; modules that are written side by side need one set of ids, errors, clock types and messages.

Change: CMake workspace with one package list, formatter and linter of the house style, core library, message types, record types, design page.

--- /dev/null
+++ b/cmake/parsleyshift.cmake
@@ -0,0 +1,63 @@
+# Functions that every part of the workspace uses, and the third-party libraries under one target each.
+
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(prometheus-cpp REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+pkg_check_modules(THRIFT REQUIRED IMPORTED_TARGET thrift)
+pkg_check_modules(LUA REQUIRED IMPORTED_TARGET lua5.4)
+find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+
+add_library(parsleyshift_warnings INTERFACE)
+target_compile_options(parsleyshift_warnings INTERFACE
+    -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wno-sign-conversion -Werror)
+
+# parsleyshift_library(name dependency...) builds libs/<name> from src/ and its tests from tests/.
+# A dependency is the name of another library of the workspace or any CMake target.
+function(parsleyshift_library name)
+    file(GLOB_RECURSE sources CONFIGURE_DEPENDS src/*.cpp)
+    set(target parsleyshift_${name})
+    if(sources)
+        add_library(${target} STATIC ${sources})
+        set(scope PUBLIC)
+        target_link_libraries(${target} PRIVATE parsleyshift_warnings)
+    else()
+        add_library(${target} INTERFACE)
+        set(scope INTERFACE)
+    endif()
+    target_include_directories(${target} ${scope} include)
+    parsleyshift_link(${target} ${scope} ${ARGN})
+    file(GLOB tests CONFIGURE_DEPENDS tests/*_test.cpp)
+    if(tests)
+        parsleyshift_test(${name} ${tests})
+        target_link_libraries(parsleyshift_${name}_tests PRIVATE ${target})
+    endif()
+endfunction()
+
+# parsleyshift_test(name source...) builds one CppUTest program and registers it with ctest.
+function(parsleyshift_test name)
+    set(target parsleyshift_${name}_tests)
+    add_executable(${target} ${ARGN})
+    target_link_libraries(${target} PRIVATE parsleyshift_warnings parsleyshift_test_support)
+    add_test(NAME ${name} COMMAND ${target})
+endfunction()
+
+# parsleyshift_program(name dependency...) builds one program from the .cpp files of the current folder.
+function(parsleyshift_program name)
+    file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+    add_executable(${name} ${sources})
+    target_link_libraries(${name} PRIVATE parsleyshift_warnings)
+    parsleyshift_link(${name} PRIVATE ${ARGN})
+endfunction()
+
+function(parsleyshift_link target scope)
+    foreach(dependency ${ARGN})
+        if(EXISTS ${PROJECT_SOURCE_DIR}/libs/${dependency}/CMakeLists.txt)
+            target_link_libraries(${target} ${scope} parsleyshift_${dependency})
+        else()
+            target_link_libraries(${target} ${scope} ${dependency})
+        endif()
+    endforeach()
+endfunction()
--- /dev/null
+++ b/libs/core/tests/core_test.cpp
@@ -0,0 +1,70 @@
+#include <parsleyshift/test_support/property.hpp> // check_property
+
+#include <parsleyshift/core/bounded_ring.hpp> // bounded_ring
+#include <parsleyshift/core/error.hpp>        // error, name_of, value_of
+#include <parsleyshift/core/hash.hpp>         // rendezvous_score
+#include <parsleyshift/core/ids.hpp>          // request_id
+
+#include <string> // string
+
+using namespace parsleyshift;
+
+TEST_GROUP(core){};
+
+// Guards against an error that tells the caller what failed but not what to do.
+TEST(core, every_error_kind_has_a_name_and_a_remedy)
+{
+    for (const auto& row : enum_names<error_kind>::rows)
+    {
+        CHECK_FALSE(row.name.empty());
+        CHECK_FALSE(row.remedy.empty());
+        CHECK(value_of<error_kind>(row.name) == row.value);
+    }
+}
+
+TEST(core, error_message_carries_number_detail_and_remedy)
+{
+    const error failed = make_error(error_kind::invalid_field, "customer.weight: must be positive");
+    STRCMP_EQUAL("[102 invalid_field] customer.weight: must be positive; correct the named field",
+                 failed.message().c_str());
+}
+
+// Guards against a full ring that drops or moves away the element it refuses.
+TEST(core, full_ring_refuses_and_leaves_the_element)
+{
+    bounded_ring<std::string> ring{1};
+    std::string first = "first";
+    std::string second = "second";
+    CHECK(ring.try_push(first));
+    CHECK_FALSE(ring.try_push(second));
+    STRCMP_EQUAL("second", second.c_str());
+    std::string taken;
+    CHECK(ring.try_pop(taken));
+    STRCMP_EQUAL("first", taken.c_str());
+    CHECK_FALSE(ring.try_pop(taken));
+}
+
+// Guards against a removal that moves keys between the candidates that stay.
+TEST(core, rendezvous_hashing_moves_only_the_keys_of_a_removed_candidate)
+{
+    test_support::check_property("removing one candidate leaves the owners of other keys",
+                                 [](const std::string& key)
+                                 {
+                                     const auto owner_of = [&key](int candidates)
+                                     {
+                                         int best = 0;
+                                         for (int candidate = 1; candidate < candidates; ++candidate)
+                                         {
+                                             if (rendezvous_score(key, std::to_string(candidate)) >
+                                                 rendezvous_score(key, std::to_string(best)))
+                                             {
+                                                 best = candidate;
+                                             }
+                                         }
+                                         return best;
+                                     };
+                                     const int owner = owner_of(9);
+                                     RC_PRE(owner != 8);
+                                     RC_ASSERT(owner_of(8) == owner);
+                                 });
+}
