--- /dev/null
+++ b/libs/streams/include/parsleyshift/streams/generation_machine.hpp
@@ -0,0 +1,214 @@
+#pragma once
+
+#include <parsleyshift/core/error.hpp>        // error
+#include <parsleyshift/messages/endpoint.hpp> // attempt_failure
+#include <parsleyshift/messages/peer.hpp>     // permit_grant
+#include <parsleyshift/messages/request.hpp>  // token_list
+
+#include <boost/msm/back/state_machine.hpp>      // state_machine
+#include <boost/msm/front/functor_row.hpp>       // Row, none
+#include <boost/msm/front/state_machine_def.hpp> // state_machine_def
+
+#include <concepts> // same_as
+#include <cstdint>  // int64_t
+
+namespace parsleyshift
+{
+
+/// @brief Events that drive one generation; each belongs to the attempt in progress.
+namespace generation_events
+{
+
+/// An endpoint was assigned, by the pool scheduler or by the local fallback.
+struct permitted
+{
+    const permit_grant& grant;
+};
+
+/// The pool scheduler rejected the request.
+struct denied
+{
+    const error& why;
+};
+
+/// New tokens that continue the stream, already checked by a token_cursor.
+struct tokens
+{
+    token_list& batch;
+};
+
+/// End mark with the engine's own count.
+struct ended
+{
+    std::int64_t count;
+};
+
+/// The attempt in progress failed.
+struct attempt_lost
+{
+    attempt_failure failure;
+};
+
+/// The backoff before a resume is over.
+struct resume_due
+{
+};
+
+/// The time that the caller allows is over.
+struct timed_out
+{
+};
+
+/// The caller cancelled or disconnected.
+struct abandoned
+{
+};
+
+} // namespace generation_events
+
+/// @brief What the state machine of a generation needs: guards that decide and steps that act.
+template <class Flow>
+concept generation_flow = requires(Flow& flow, const permit_grant& grant, const error& why, token_list& batch,
+                                   attempt_failure failure, std::int64_t count)
+{
+    {
+        flow.may_try_again(failure)
+        } -> std::same_as<bool>;
+    {
+        flow.may_resume(failure)
+        } -> std::same_as<bool>;
+    {
+        flow.may_restart(failure)
+        } -> std::same_as<bool>;
+    {
+        flow.is_complete(count)
+        } -> std::same_as<bool>;
+    flow.start_attempt(grant);
+    flow.ask_again(failure);
+    flow.deliver(batch);
+    flow.complete();
+    flow.schedule_resume();
+    flow.send_resume();
+    flow.reject(why);
+    flow.reject_late();
+    flow.fail(failure);
+    flow.fail_incomplete(count);
+    flow.abandon();
+};
+
+namespace detail
+{
+
+namespace front = boost::msm::front;
+
+/// @brief The way of a generation from admission to its end, as a table of transitions.
+template <generation_flow Flow>
+struct generation_transitions : front::state_machine_def<generation_transitions<Flow>>
+{
+    // One machine per request: without the message queue it allocates nothing of its own.
+    using no_message_queue = int;
+    using no_exception_thrown = int;
+
+    explicit generation_transitions(Flow* owner) : flow(owner) {}
+
+    Flow* flow;
+
+    /// Waits for an endpoint.
+    struct admission : front::state<>
+    {
+    };
+    /// An attempt was sent and has produced nothing yet.
+    struct starting : front::state<>
+    {
+    };
+    /// Tokens arrive.
+    struct streaming : front::state<>
+    {
+    };
+    /// The link broke after the first token; the engine may still hold the generation.
+    struct resuming : front::state<>
+    {
+    };
+    struct finished : front::state<>
+    {
+    };
+    using initial_state = admission;
+
+    // clang-format off
+    struct may_try_again { template <class E, class F, class S, class T> bool operator()(const E& e, F& f, S&, T&) const { return f.flow->may_try_again(e.failure); } };
+    struct may_resume { template <class E, class F, class S, class T> bool operator()(const E& e, F& f, S&, T&) const { return f.flow->may_resume(e.failure); } };
+    struct may_restart { template <class E, class F, class S, class T> bool operator()(const E& e, F& f, S&, T&) const { return f.flow->may_restart(e.failure); } };
+    struct is_complete { template <class E, class F, class S, class T> bool operator()(const E& e, F& f, S&, T&) const { return f.flow->is_complete(e.count); } };
+
+    struct start_attempt { template <class E, class F, class S, class T> void operator()(const E& e, F& f, S&, T&) const { f.flow->start_attempt(e.grant); } };
+    struct ask_again { template <class E, class F, class S, class T> void operator()(const E& e, F& f, S&, T&) const { f.flow->ask_again(e.failure); } };
+    struct deliver { template <class E, class F, class S, class T> void operator()(const E& e, F& f, S&, T&) const { f.flow->deliver(e.batch); } };
+    struct complete { template <class E, class F, class S, class T> void operator()(const E&, F& f, S&, T&) const { f.flow->complete(); } };
+    struct schedule_resume { template <class E, class F, class S, class T> void operator()(const E&, F& f, S&, T&) const { f.flow->schedule_resume(); } };
+    struct send_resume { template <class E, class F, class S, class T> void operator()(const E&, F& f, S&, T&) const { f.flow->send_resume(); } };
+    struct reject { template <class E, class F, class S, class T> void operator()(const E& e, F& f, S&, T&) const { f.flow->reject(e.why); } };
+    struct reject_late { template <class E, class F, class S, class T> void operator()(const E&, F& f, S&, T&) const { f.flow->reject_late(); } };
+    struct fail { template <class E, class F, class S, class T> void operator()(const E& e, F& f, S&, T&) const { f.flow->fail(e.failure); } };
+    struct fail_incomplete { template <class E, class F, class S, class T> void operator()(const E& e, F& f, S&, T&) const { f.flow->fail_incomplete(e.count); } };
+    struct abandon { template <class E, class F, class S, class T> void operator()(const E&, F& f, S&, T&) const { f.flow->abandon(); } };
+
+    template <class S, class E, class T, class A = front::none, class G = front::none>
+    using row = front::Row<S, E, T, A, G>;
+
+    // Boost.MSM tries the rows of one state and event from the last to the first: the row without a guard comes first.
+    struct transition_table : boost::mpl::vector<
+        //  state      event                              next       action           guard
+        row<admission, generation_events::permitted,      starting,  start_attempt>,
+        row<admission, generation_events::denied,         finished,  reject>,
+        row<admission, generation_events::timed_out,      finished,  reject_late>,
+        row<admission, generation_events::abandoned,      finished,  abandon>,
+
+        row<starting,  generation_events::tokens,         streaming, deliver>,
+        row<starting,  generation_events::ended,          finished,  fail_incomplete>,
+        row<starting,  generation_events::ended,          finished,  complete,        is_complete>,
+        row<starting,  generation_events::attempt_lost,   finished,  fail>,
+        row<starting,  generation_events::attempt_lost,   admission, ask_again,       may_try_again>,
+        row<starting,  generation_events::timed_out,      finished,  reject_late>,
+        row<starting,  generation_events::abandoned,      finished,  abandon>,
+
+        row<streaming, generation_events::tokens,         streaming, deliver>,
+        row<streaming, generation_events::ended,          finished,  fail_incomplete>,
+        row<streaming, generation_events::ended,          finished,  complete,        is_complete>,
+        row<streaming, generation_events::attempt_lost,   finished,  fail>,
+        row<streaming, generation_events::attempt_lost,   admission, ask_again,       may_restart>,
+        row<streaming, generation_events::attempt_lost,   resuming,  schedule_resume, may_resume>,
+        row<streaming, generation_events::timed_out,      finished,  reject_late>,
+        row<streaming, generation_events::abandoned,      finished,  abandon>,
+
+        row<resuming,  generation_events::resume_due,     resuming,  send_resume>,
+        row<resuming,  generation_events::tokens,         streaming, deliver>,
+        row<resuming,  generation_events::ended,          finished,  fail_incomplete>,
+        row<resuming,  generation_events::ended,          finished,  complete,        is_complete>,
+        row<resuming,  generation_events::attempt_lost,   finished,  fail>,
+        row<resuming,  generation_events::attempt_lost,   admission, ask_again,       may_restart>,
+        row<resuming,  generation_events::attempt_lost,   resuming,  schedule_resume, may_resume>,
+        row<resuming,  generation_events::timed_out,      finished,  reject_late>,
+        row<resuming,  generation_events::abandoned,      finished,  abandon>
+    > {};
+    // clang-format on
+
+    /// Events that a state does not expect are late or crossed, and are dropped.
+    template <class Fsm, class Event>
+    void no_transition(const Event& /*late*/, Fsm& /*machine*/, int /*state*/)
+    {
+    }
+};
+
+} // namespace detail
+
+/// @brief State machine of one generation, driving a generation_flow.
+///
+/// @code
+/// generation_machine<my_flow> machine{&flow};
+/// machine.start();
+/// machine.process_event(generation_events::permitted{grant});
+/// @endcode
+template <generation_flow Flow>
+using generation_machine = boost::msm::back::state_machine<detail::generation_transitions<Flow>>;
+
+} // namespace parsleyshift
