Add the order table of a home instance

Cause: an order that is not idempotent must run at most once, with resends, pauses and restarts.

Change: order_home keeps every placed key until its expiry, sends once, and closes a key that was reported as not run.

--- a/cmake/parsleyshift.cmake
+++ b/cmake/parsleyshift.cmake
@@ -12,7 +12,8 @@
 
 add_library(parsleyshift_warnings INTERFACE)
 target_compile_options(parsleyshift_warnings INTERFACE
-    -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wno-sign-conversion -Werror)
+    -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wno-sign-conversion
+    -Wzero-as-null-pointer-constant -Werror)
 
 # parsleyshift_library(name dependency...) builds libs/<name> from src/ and its tests from tests/.
 # A dependency is the name of another library of the workspace or any CMake target.
--- /dev/null
+++ b/libs/orders/src/order_home.cpp
@@ -0,0 +1,104 @@
+#include <parsleyshift/orders/order_home.hpp> // order_home
+
+#include <utility> // move
+
+namespace parsleyshift
+{
+
+minted_order order_home::mint(time_point now)
+{
+    last_serial_ = last_serial_.next();
+    return minted_order{last_serial_, now + settings_.send_window, now + settings_.answer_window};
+}
+
+order_decision order_home::place(const minted_order& key, fingerprint content, time_point now)
+{
+    if (now >= key.expires)
+    {
+        return make_error(error_kind::key_expired, "the key's answer window is over");
+    }
+    if (const auto found = entries_.find(key.serial); found != entries_.end())
+    {
+        if (found->second.content != content)
+        {
+            return make_error(error_kind::invalid_field, "key: it was used for another operation or payload");
+        }
+        return look_up(key.serial);
+    }
+    if (entries_.size() >= settings_.capacity)
+    {
+        return make_error(error_kind::queue_full, "too many orders are held", duration{1'000});
+    }
+    entries_.emplace(key.serial, entry{content, key.send_deadline, std::nullopt});
+    expiries_.add(key.expires, key.serial);
+    if (now >= key.send_deadline)
+    {
+        order_result late{
+            outcome::not_run, {}, make_error(error_kind::deadline_passed, "the key's send window is over")};
+        finish(key.serial, late);
+        return late;
+    }
+    return order_must_be_sent{};
+}
+
+order_decision order_home::look_up(order_serial serial) const
+{
+    const auto found = entries_.find(serial);
+    if (found == entries_.end())
+    {
+        return make_error(error_kind::not_found, "no order was placed under this key");
+    }
+    if (found->second.finished)
+    {
+        return *found->second.finished;
+    }
+    return order_in_progress{};
+}
+
+bool order_home::release(order_serial serial, time_point now)
+{
+    const auto found = entries_.find(serial);
+    if (found == entries_.end() || found->second.finished)
+    {
+        return false;
+    }
+    if (now < found->second.send_deadline)
+    {
+        return true;
+    }
+    finish(serial,
+           {outcome::not_run, {}, make_error(error_kind::deadline_passed, "no endpoint took the order in time")});
+    return false;
+}
+
+void order_home::finish(order_serial serial, order_result result)
+{
+    const auto found = entries_.find(serial);
+    if (found != entries_.end() && !found->second.finished)
+    {
+        found->second.finished = std::move(result);
+    }
+}
+
+order_decision order_home::close_unsent(const minted_order& key, fingerprint content, error why, time_point now)
+{
+    order_decision decided = place(key, content, now);
+    if (!std::holds_alternative<order_must_be_sent>(decided))
+    {
+        return decided;
+    }
+    order_result closed{outcome::not_run, {}, std::move(why)};
+    finish(key.serial, closed);
+    return closed;
+}
+
+void order_home::expire(time_point now)
+{
+    order_serial expired;
+    while (expiries_.take_due(now, expired))
+    {
+        entries_.erase(expired);
+    }
+}
+
+} // namespace parsleyshift
