Add the acknowledgement of permit requests, stream takeover and health notices

Cause: a requester cannot tell a long queue from a dead scheduler; the first owner of a resumed stream would cancel it; a scheduler sees slow endpoints only through its own streams.

Change: three peer messages.

--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -241,10 +241,39 @@
     time_point expires;
 };
 
+/// The scheduler has queued a request; without this answer the requester falls back on a local decision.
+struct permit_queued
+{
+    request_id request;
+
+    friend bool operator==(const permit_queued&, const permit_queued&) = default;
+};
+
+/// The sender has resumed a generation that the receiver started; the receiver must not cancel it.
+struct stream_takeover
+{
+    attempt_id attempt;
+
+    friend bool operator==(const stream_takeover&, const stream_takeover&) = default;
+};
+
+/// The sender sees that an endpoint is slower than its pool; the pool's scheduler sends it less work.
+struct endpoint_health_notice
+{
+    pool_id pool;
+    endpoint_id endpoint;
+    /// Share of its usual work that the endpoint should get, 0 to 1.
+    double weight = 1.0;
+    time_point expires;
+
+    friend bool operator==(const endpoint_health_notice&, const endpoint_health_notice&) = default;
+};
+
 using peer_message =
     std::variant<probe, probe_ack, probe_request, member_updates, configuration_digest, configuration_pull,
                  configuration_records, permit_request, permit_grant, permit_denial, permit_withdrawal, permit_return,
-                 permit_registration, order_forward, order_reply, budget_loan, budget_request, quarantine_notice>;
+                 permit_registration, order_forward, order_reply, budget_loan, budget_request, quarantine_notice,
+                 permit_queued, stream_takeover, endpoint_health_notice>;
 
 /// @brief A peer message with its sender.
 struct peer_envelope
