--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -223,6 +223,8 @@
     customer_id customer;
     std::uint64_t sequence = 0;
     std::int64_t tokens = 0;
+    /// Incarnation of the receiver that asked; a later process must not credit the loan a second time.
+    incarnation receiver;
 };
 
 /// The sender's share of a customer's budget is used up; the receiver may lend.
--- /dev/null
+++ b/libs/scheduling/include/parsleyshift/scheduling/endpoint_table.hpp
@@ -0,0 +1,170 @@
+#pragma once
+
+#include <parsleyshift/core/clock.hpp>                    // time_point
+#include <parsleyshift/core/ids.hpp>                      // endpoint_id, permit_id
+#include <parsleyshift/messages/endpoint.hpp>             // load_report
+#include <parsleyshift/messages/peer.hpp>                 // work_description
+#include <parsleyshift/records/record.hpp>                // lane
+#include <parsleyshift/scheduling/length_estimator.hpp>   // length_estimator
+#include <parsleyshift/scheduling/memory_forecast.hpp>    // stream_growth
+#include <parsleyshift/scheduling/queue_order.hpp>        // work_key
+#include <parsleyshift/scheduling/scheduler_settings.hpp> // scheduler_settings
+
+#include <cstddef>       // size_t
+#include <cstdint>       // int64_t
+#include <deque>         // deque
+#include <optional>      // optional
+#include <set>           // set
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+namespace parsleyshift
+{
+
+/// @brief A permit in use.
+struct active_permit
+{
+    permit_id id;
+    work_key key;
+    endpoint_id endpoint;
+    customer_id customer;
+    class_id work_class;
+    lane uses = lane::shared;
+    std::int64_t prompt_tokens = 0;
+    std::int64_t max_tokens = 0;
+    /// Expected output, raised when the stream outgrows it.
+    std::int64_t expected_tokens = 0;
+    /// Output at the last registration.
+    std::int64_t known_tokens = 0;
+    time_point known_at;
+    time_point granted;
+    time_point expires;
+    int priority = 0;
+    /// Outgrew its expectation by the straggler factor.
+    bool straggler = false;
+};
+
+/// @brief Room that a piece of work needs at an endpoint.
+struct room_request
+{
+    lane uses = lane::shared;
+    std::int64_t prompt_tokens = 0;
+    std::int64_t expected_tokens = 0;
+};
+
+/// @brief Endpoints of a pool and the permits in use at them; answers whether work fits.
+///
+/// Load that no known permit explains (other schedulers, instances without a scheduler, permits not yet registered)
+/// is taken from the load reports, corrected by permits granted and returned since the report was measured.
+class endpoint_table
+{
+  public:
+    using index = std::size_t;
+
+    endpoint_table(const scheduler_settings& settings, const length_estimator& lengths);
+
+    /// @brief Makes an endpoint known. Constant time.
+    index add(const endpoint_id& endpoint);
+    /// @brief Forgets an endpoint and its permits. Linear in its permits.
+    std::vector<permit_id> remove(const endpoint_id& endpoint);
+    void set_leaving(const endpoint_id& endpoint);
+    void set_health(const endpoint_id& endpoint, double weight);
+    /// @brief Takes a load report; one that is older than the last is ignored. Linear in the endpoint's permits.
+    void report(const load_report& report, time_point now);
+    /// @brief Takes a permit that was granted here or registered. Constant time besides the expiry index.
+    /// @param explains_report the permit was in use before, so the reported load without a permit shrinks by it
+    void insert(const active_permit& permit, bool explains_report);
+    /// @brief Renews a permit with the tokens produced so far. @return false when the permit is not known
+    bool renew(permit_id permit, std::int64_t tokens, time_point now);
+    /// @brief Ends a permit. @return the permit, or nothing when it is not known
+    std::optional<active_permit> erase(permit_id permit, time_point now);
+    /// @brief A permit whose lifetime has ended, or nothing. Constant time.
+    [[nodiscard]] std::optional<permit_id> expired(time_point now) const;
+    /// @brief Time when the next permit expires. Constant time.
+    [[nodiscard]] time_point next_expiry() const;
+
+    /// @brief Whether the work fits now. O(n log n) in the endpoint's permits, usually O(n).
+    [[nodiscard]] bool fits(index at, const room_request& need, time_point now);
+    /// @brief How busy an endpoint is: about 0 idle, 1 full; health counts as lost capacity. Constant time.
+    [[nodiscard]] double busy(index at) const;
+    [[nodiscard]] bool has_stragglers(index at) const;
+    [[nodiscard]] const endpoint_id& id_of(index at) const;
+    [[nodiscard]] std::optional<index> find(const endpoint_id& endpoint) const;
+    /// @brief Endpoints that may have a free slot, in no order.
+    [[nodiscard]] const std::vector<index>& open() const noexcept
+    {
+        return open_;
+    }
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return index_of_.size();
+    }
+    [[nodiscard]] const active_permit* permit(permit_id permit) const;
+    [[nodiscard]] std::size_t permit_count() const noexcept
+    {
+        return permits_.size();
+    }
+    /// @brief Whether work that needs this much could ever run at some endpoint. Constant time, conservative.
+    [[nodiscard]] std::int64_t largest_memory() const noexcept
+    {
+        return largest_memory_;
+    }
+    /// @brief Sum of the allowed slots of all endpoints that take work. Linear in the endpoints.
+    [[nodiscard]] double usable_endpoints() const;
+    /// @brief Ends the time in which endpoints without a report get no work.
+    void finish_slow_start();
+
+  private:
+    struct endpoint_entry
+    {
+        endpoint_id id;
+        bool used = false;
+        bool reported = false;
+        bool leaving = false;
+        bool in_open = false;
+        std::int64_t slots = 0;
+        std::int64_t memory = 0;
+        double health = 1.0;
+        /// Load that no known permit explains.
+        std::int64_t foreign_running = 0;
+        std::int64_t foreign_memory = 0;
+        std::int64_t shared_permits = 0;
+        std::int64_t stragglers = 0;
+        /// Output tokens per millisecond of one stream.
+        double pace = 0.03;
+        time_point reported_as_of;
+        std::vector<active_permit*> permits;
+        /// Ends of permits that a later report may still count as running.
+        std::deque<time_point> recent_ends;
+    };
+    struct expiry
+    {
+        time_point at;
+        permit_id permit;
+
+        friend auto operator<=>(const expiry&, const expiry&) = default;
+    };
+
+    [[nodiscard]] std::int64_t allowed_slots(const endpoint_entry& entry) const;
+    [[nodiscard]] bool takes_work(const endpoint_entry& entry) const;
+    [[nodiscard]] std::int64_t running(const endpoint_entry& entry) const;
+    [[nodiscard]] std::int64_t produced(const endpoint_entry& entry, const active_permit& permit, time_point now) const;
+    void outgrow(endpoint_entry& entry, active_permit& permit, std::int64_t tokens);
+    bool memory_fits(endpoint_entry& entry, const room_request& need, time_point now);
+    void update_open(index at);
+
+    scheduler_settings settings_;
+    const length_estimator* lengths_;
+    std::vector<endpoint_entry> entries_;
+    std::vector<index> unused_;
+    std::unordered_map<endpoint_id, index> index_of_;
+    std::vector<index> open_;
+    std::unordered_map<permit_id, active_permit> permits_;
+    std::set<expiry> expiries_;
+    std::vector<stream_growth> all_streams_;
+    std::vector<stream_growth> shared_streams_;
+    std::int64_t largest_memory_ = 0;
+    bool slow_start_ = true;
+};
+
+} // namespace parsleyshift
--- /dev/null
+++ b/libs/scheduling/include/parsleyshift/scheduling/scheduler_settings.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <parsleyshift/core/clock.hpp> // duration
+
+#include <cstddef> // size_t
+#include <cstdint> // int64_t
+
+namespace parsleyshift
+{
+
+/// @brief Settings of a pool scheduler; the value of a share is relative to one endpoint's capacity.
+struct scheduler_settings
+{
+    /// Share of the slots and of the memory that only classes of the reserved lane may use.
+    double reserved_share = 0.15;
+    /// Share of the memory kept free for outputs that are longer than expected.
+    double headroom_share = 0.08;
+    /// Quantile of the output length that memory is reserved for.
+    double reserve_quantile = 0.7;
+    /// Waiting time that raises a class by one level.
+    duration aging_step{10'000};
+    /// Waiting time after which work that does not fit keeps other work from taking the room it needs.
+    duration patience{3'000};
+    /// Time without renewal after which a permit no longer counts.
+    duration permit_lifetime{30'000};
+    /// Time after a start during which endpoints without a load report get no work.
+    duration slow_start{1'000};
+    /// Concurrent permits at an endpoint whose size is not known.
+    std::int64_t unknown_slots = 2;
+    /// Endpoints examined for one request; a larger pool is sampled.
+    std::size_t candidates = 16;
+    /// A stream that has produced this many times its class's quantile counts as a straggler.
+    double straggler_factor = 4.0;
+    /// Preference of long work for endpoints that already run stragglers; 0 switches consolidation off.
+    double straggler_preference = 0.25;
+    /// Rejects requests on arrival when the expected wait exceeds the time allowed.
+    bool early_denial = true;
+    /// Shortest retry_after of a denial.
+    duration shortest_retry{500};
+};
+
+} // namespace parsleyshift
