--- a/libs/limits/include/parsleyshift/limits/customer_limits.hpp
+++ b/libs/limits/include/parsleyshift/limits/customer_limits.hpp
@@ -80,7 +80,7 @@
     static constexpr std::size_t max_senders = 4096;
 
   private:
-    struct bucket
+    struct token_bucket
     {
         limit_share share;
         /// Millionths of a token.
@@ -94,12 +94,12 @@
     };
 
     static std::int64_t capacity(const limit_share& share);
-    static std::int64_t level_at(const bucket& bucket, time_point now);
-    static void refill(bucket& bucket, time_point now);
-    [[nodiscard]] duration time_until(const bucket& bucket, std::int64_t tokens);
+    static std::int64_t level_at(const token_bucket& bucket, time_point now);
+    static void refill(token_bucket& bucket, time_point now);
+    [[nodiscard]] duration time_until(const token_bucket& bucket, std::int64_t wanted);
 
     incarnation own_;
-    std::unordered_map<customer_id, bucket> buckets_;
+    std::unordered_map<customer_id, token_bucket> buckets_;
     std::unordered_map<instance_id, sender_state> senders_;
     std::uint64_t next_sequence_ = 1;
     random_source random_;
--- a/libs/scheduling/include/parsleyshift/scheduling/endpoint_table.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/endpoint_table.hpp
@@ -32,8 +32,9 @@
     lane uses = lane::shared;
     std::int64_t prompt_tokens = 0;
     std::int64_t max_tokens = 0;
-    /// Expected output, raised when the stream outgrows it.
+    /// Expected output, raised when the stream outgrows it, and the expectation at the start.
     std::int64_t expected_tokens = 0;
+    std::int64_t first_expected = 0;
     /// Output at the last registration.
     std::int64_t known_tokens = 0;
     time_point known_at;
@@ -50,6 +51,8 @@
     lane uses = lane::shared;
     std::int64_t prompt_tokens = 0;
     std::int64_t expected_tokens = 0;
+    /// Work of the reserved lane must fit into the reserve alone, because older work waits for the shared part.
+    bool reserve_only = false;
 };
 
 /// @brief Endpoints of a pool and the permits in use at them; answers whether work fits.
@@ -66,7 +69,8 @@
     /// @brief Makes an endpoint known. Constant time.
     index add(const endpoint_id& endpoint);
     /// @brief Forgets an endpoint and its permits. Linear in its permits.
-    std::vector<permit_id> remove(const endpoint_id& endpoint);
+    /// @return the requests whose permits have ended
+    std::vector<work_key> remove(const endpoint_id& endpoint);
     void set_leaving(const endpoint_id& endpoint);
     void set_health(const endpoint_id& endpoint, double weight);
     /// @brief Takes a load report; one that is older than the last is ignored. Linear in the endpoint's permits.
@@ -104,17 +108,15 @@
     {
         return permits_.size();
     }
-    /// @brief Whether work that needs this much could ever run at some endpoint. Constant time, conservative.
-    [[nodiscard]] std::int64_t largest_memory() const noexcept
-    {
-        return largest_memory_;
-    }
-    /// @brief Sum of the allowed slots of all endpoints that take work. Linear in the endpoints.
-    [[nodiscard]] double usable_endpoints() const;
     /// @brief Ends the time in which endpoints without a report get no work.
     void finish_slow_start();
 
   private:
+    struct ended_permit
+    {
+        time_point at;
+        std::int64_t held = 0;
+    };
     struct endpoint_entry
     {
         endpoint_id id;
@@ -122,6 +124,7 @@
         bool reported = false;
         bool leaving = false;
         bool in_open = false;
+        std::size_t open_position = 0;
         std::int64_t slots = 0;
         std::int64_t memory = 0;
         double health = 1.0;
@@ -130,12 +133,14 @@
         std::int64_t foreign_memory = 0;
         std::int64_t shared_permits = 0;
         std::int64_t stragglers = 0;
+        /// Prompt and expected output of all permits.
+        std::int64_t expected_memory = 0;
         /// Output tokens per millisecond of one stream.
         double pace = 0.03;
         time_point reported_as_of;
         std::vector<active_permit*> permits;
         /// Ends of permits that a later report may still count as running.
-        std::deque<time_point> recent_ends;
+        std::deque<ended_permit> recent_ends;
     };
     struct expiry
     {
@@ -149,8 +154,12 @@
     [[nodiscard]] bool takes_work(const endpoint_entry& entry) const;
     [[nodiscard]] std::int64_t running(const endpoint_entry& entry) const;
     [[nodiscard]] std::int64_t produced(const endpoint_entry& entry, const active_permit& permit, time_point now) const;
-    void outgrow(endpoint_entry& entry, active_permit& permit, std::int64_t tokens);
+    [[nodiscard]] bool slots_fit(const endpoint_entry& entry, const room_request& need) const;
+    [[nodiscard]] std::int64_t reserved_slots(const endpoint_entry& entry) const;
+    void outgrow(endpoint_entry& entry, active_permit& permit, std::int64_t tokens) const;
+    void collect_streams(endpoint_entry& entry, const room_request& need, time_point now);
     bool memory_fits(endpoint_entry& entry, const room_request& need, time_point now);
+    void detach(endpoint_entry& entry, const active_permit& permit);
     void update_open(index at);
 
     scheduler_settings settings_;
@@ -163,7 +172,6 @@
     std::set<expiry> expiries_;
     std::vector<stream_growth> all_streams_;
     std::vector<stream_growth> shared_streams_;
-    std::int64_t largest_memory_ = 0;
     bool slow_start_ = true;
 };
 
--- a/libs/scheduling/include/parsleyshift/scheduling/pool_scheduler.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/pool_scheduler.hpp
@@ -118,19 +118,22 @@
     std::size_t class_index(const class_id& name);
     [[nodiscard]] waiting_work describe(const instance_id& from, const work_description& work,
                                         const priority_record& record, time_point now);
-    bool enqueue(class_type& target, std::size_t at, waiting_work work, time_point now, scheduling_decisions& out);
+    void enqueue(std::size_t class_at, const waiting_work& work, time_point now, scheduling_decisions& out);
+    waiting_work take_waiting(std::size_t class_at, std::uint64_t sequence);
     [[nodiscard]] duration expected_wait(const class_type& target, const waiting_work& work, time_point now) const;
-    void drop_waiting(const work_key& key, time_point now);
+    void drop_waiting(const work_key& key);
+    void expire(time_point now, scheduling_decisions& out);
     void deny(const waiting_work& work, error_kind kind, duration wait, scheduling_decisions& out);
     void dispatch(time_point now, std::optional<endpoint_table::index> hint, scheduling_decisions& out);
     bool grant_next(time_point now, std::optional<endpoint_table::index> hint, scheduling_decisions& out);
-    std::optional<endpoint_table::index> choose(const class_type& source, const waiting_work& work,
+    void order_classes(time_point now);
+    std::optional<endpoint_table::index> choose(const waiting_work& work, const room_request& need,
                                                 std::optional<endpoint_table::index> hint, time_point now);
-    [[nodiscard]] room_request room_for(const class_type& source, const waiting_work& work) const;
-    [[nodiscard]] double score(const class_type& source, const waiting_work& work, endpoint_table::index at);
+    [[nodiscard]] room_request room_for(const priority_record& record, const waiting_work& work) const;
+    [[nodiscard]] double score(const waiting_work& work, lane uses, endpoint_table::index at);
     void grant(std::size_t class_at, endpoint_table::index at, time_point now, scheduling_decisions& out);
     void repeat_grant(const instance_id& from, const request_state& state, scheduling_decisions& out) const;
-    void forget_permit(permit_id permit, time_point now);
+    std::optional<endpoint_table::index> forget_permit(permit_id permit, time_point now);
 
     pool_id pool_;
     scheduler_settings settings_;
@@ -143,7 +146,12 @@
     std::unordered_map<customer_id, double> weights_;
     std::unordered_map<work_key, request_state, work_key_hash> requests_;
     std::set<start_deadline> deadlines_;
-    std::vector<std::size_t> class_order_;
+    struct ranked_class
+    {
+        double level = 0.0;
+        std::size_t at = 0;
+    };
+    std::vector<ranked_class> class_order_;
     std::size_t requests_waiting_ = 0;
     std::uint64_t next_sequence_ = 1;
     std::uint64_t next_permit_ = 0;
@@ -156,3 +164,10 @@
 } // namespace parsleyshift
 
 #include <parsleyshift/scheduling/detail/pool_scheduler_impl.hpp>
+
+namespace parsleyshift
+{
+
+extern template class basic_pool_scheduler<fair_queue, no_preference>;
+
+} // namespace parsleyshift
