--- a/libs/quarantine/include/parsleyshift/quarantine/crash_quarantine.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/crash_quarantine.hpp
@@ -65,15 +65,14 @@
 /// Each fingerprint that ran on an endpoint when it died gets a mark; two marks of distinct deaths convict. One death
 /// marks the innocent requests beside the killer as well. They are restarted, but until one of their runs completes,
 /// which removes their marks, they are suspects: a suspect runs only on an endpoint where this instance runs no other
-/// suspect, so that the next death marks one suspect and leaves the others with one mark. Requests without a mark that
-/// ran beside the newly convicted one keep no mark, since its death is explained.
+/// suspect, so that the next death gives at most one suspect its second mark.
 ///
 /// A broken run counts as a mark of its own until the endpoint is found dead or alive, so that a resend cannot run
 /// while the death is not yet known.
 ///
 /// The conviction depends on a fingerprint's own marks only, never on those of others: two killers on one endpoint are
 /// both held to two deaths. The price is that an innocent request can be convicted when it sits beside two different
-/// killers, or twice beside one whose notices do not get through.
+/// killers before a run of it completes.
 class crash_quarantine
 {
   public:
--- /dev/null
+++ b/libs/routing/include/parsleyshift/routing/endpoint_candidates.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <parsleyshift/core/clock.hpp>                 // time_point
+#include <parsleyshift/core/ids.hpp>                   // instance_id, pool_id
+#include <parsleyshift/routing/endpoint_chooser.hpp>   // endpoint_candidate, routing_query
+#include <parsleyshift/routing/endpoint_directory.hpp> // endpoint_directory
+#include <parsleyshift/routing/endpoint_health.hpp>    // endpoint_health
+#include <parsleyshift/routing/in_flight_ledger.hpp>   // in_flight_ledger
+#include <parsleyshift/routing/prefix_index.hpp>       // prefix_index
+
+#include <cstddef>       // size_t
+#include <cstdint>       // uint64_t
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+namespace parsleyshift
+{
+
+/// @brief Where an instance stands, and how many endpoints of a pool it uses.
+struct candidate_policy
+{
+    instance_id instance;
+    zone_id availability_zone;
+    region_id region;
+    /// Endpoints of each pool that this instance sends to; 0: all, for a pool scheduler.
+    std::size_t subset_size = 24;
+    /// Share of the subset taken from the own zone, as far as it has endpoints.
+    double own_zone_share = 0.5;
+};
+
+/// @brief The endpoints of a pool that one instance sends to, so that it does not hold connections to all of them.
+///
+/// Rendezvous hashing over (instance, endpoint): the same on each call, different per instance, and a change of one
+/// endpoint changes at most one place of the subset. Own-zone endpoints fill their share first. O(members).
+std::vector<const endpoint_entry*> endpoint_subset(const std::vector<const endpoint_entry*>& members,
+                                                   const candidate_policy& policy);
+
+/// @brief Gathers the candidates for a choice from directory, ledger, health and prefix index.
+class endpoint_candidates
+{
+  public:
+    explicit endpoint_candidates(candidate_policy policy);
+
+    /// @brief Candidates of one pool. O(subset * prefixes); O(members) more after a change of the directory.
+    /// @return valid until the next call
+    const std::vector<endpoint_candidate>& gather(const pool_id& pool, const routing_query& query,
+                                                  const endpoint_directory& directory, const in_flight_ledger& ledger,
+                                                  const endpoint_health& health, const prefix_index& prefixes,
+                                                  time_point now);
+    /// @brief Candidates of all pools of a service, for the path without a scheduler. O(sum of the subsets).
+    const std::vector<endpoint_candidate>& gather_service(const routing_query& query,
+                                                          const endpoint_directory& directory,
+                                                          const in_flight_ledger& ledger, const endpoint_health& health,
+                                                          const prefix_index& prefixes, time_point now);
+    /// @brief Endpoints of a pool that this instance uses and should therefore watch. O(1) on average while the
+    /// directory has not changed.
+    const std::vector<const endpoint_entry*>& subset_of(const pool_id& pool, const endpoint_directory& directory);
+
+  private:
+    void append(const pool_id& pool, const routing_query& query, const endpoint_directory& directory,
+                const in_flight_ledger& ledger, const endpoint_health& health, const prefix_index& prefixes,
+                time_point now);
+    [[nodiscard]] link_distance distance_to(const endpoint_entry& entry) const;
+
+    candidate_policy policy_;
+    std::unordered_map<pool_id, std::vector<const endpoint_entry*>> subsets_;
+    std::uint64_t version_ = 0;
+    std::vector<endpoint_candidate> found_;
+};
+
+} // namespace parsleyshift
--- /dev/null
+++ b/libs/routing/include/parsleyshift/routing/endpoint_chooser.hpp
@@ -0,0 +1,184 @@
+#pragma once
+
+#include <parsleyshift/core/ids.hpp>                   // endpoint_id, model_id
+#include <parsleyshift/core/random_source.hpp>         // random_source
+#include <parsleyshift/routing/endpoint_directory.hpp> // endpoint_entry
+#include <parsleyshift/routing/in_flight_ledger.hpp>   // endpoint_load
+
+#include <algorithm> // find, max
+#include <array>     // array
+#include <cmath>     // ceil
+#include <concepts>  // convertible_to
+#include <cstddef>   // size_t
+#include <cstdint>   // int64_t, uint64_t
+#include <limits>    // numeric_limits
+#include <optional>  // optional
+#include <span>      // span
+#include <tuple>     // tuple, apply
+#include <utility>   // move
+#include <vector>    // vector
+
+namespace parsleyshift
+{
+
+/// @brief How far an endpoint is from the instance that sends to it.
+enum class link_distance
+{
+    same_zone,
+    same_region,
+    /// The link is narrow and billed by volume.
+    other_region,
+};
+
+template <>
+struct enum_names<link_distance>
+{
+    static constexpr std::array rows{enum_name<link_distance>{link_distance::same_zone, "same_zone"},
+                                     enum_name<link_distance>{link_distance::same_region, "same_region"},
+                                     enum_name<link_distance>{link_distance::other_region, "other_region"}};
+};
+
+/// @brief Work that needs an endpoint.
+struct routing_query
+{
+    service_id service;
+    /// Empty: any model, and for plain services.
+    model_id model;
+    /// Result of prefix_hashes(); empty when there is no affinity.
+    std::vector<std::uint64_t> prefixes;
+    std::int64_t prompt_tokens = 0;
+    std::int64_t expected_tokens = 0;
+    /// Bytes of request and expected answer, for the cost of the link.
+    std::int64_t bytes = 0;
+    /// Endpoints that earlier attempts of the same request have used.
+    std::vector<endpoint_id> excluded;
+};
+
+/// @brief An endpoint with all that a choice depends on.
+struct endpoint_candidate
+{
+    const endpoint_entry* entry = nullptr;
+    endpoint_load load;
+    /// 0 to 1, from endpoint_health.
+    double weight = 1.0;
+    link_distance distance = link_distance::same_zone;
+    /// Prompt tokens that the endpoint's prefix cache is expected to save.
+    double saved_tokens = 0;
+};
+
+/// @brief A term of the cost of sending work to a candidate, in milliseconds of expected delay; negative for a gain.
+template <class S>
+concept endpoint_score = requires(const S& score, const endpoint_candidate& candidate, const routing_query& query)
+{
+    {
+        score(candidate, query)
+        } -> std::convertible_to<double>;
+};
+
+/// @brief Bounds of a choice.
+struct chooser_policy
+{
+    /// Prefix affinity counts only for candidates with at most this multiple of the mean load per slot.
+    double affinity_load = 1.25;
+    /// Random part of each cost, as a share, so that instances with the same reports do not all choose the same.
+    double herd_spread = 0.1;
+};
+
+/// @brief The candidate chosen, with its cost.
+struct endpoint_choice
+{
+    const endpoint_entry* entry = nullptr;
+    double cost_ms = 0;
+    double saved_tokens = 0;
+};
+
+namespace detail
+{
+
+bool admissible(const endpoint_candidate& candidate, const routing_query& query);
+double load_share(const endpoint_load& load);
+/// Largest load share at which affinity counts.
+double affinity_bound(std::span<const endpoint_candidate> candidates, const routing_query& query,
+                      double multiple_of_mean);
+
+} // namespace detail
+
+/// @brief Chooses the candidate with the lowest sum of scores.
+///
+/// Leaving endpoints, excluded ones and those without the model are never chosen. A candidate whose weight is below 1
+/// takes part in a choice with the probability of its weight, which gives a recovering endpoint its share of traffic;
+/// when none takes part, the admissible one with the highest weight is chosen.
+/// @tparam Score functors whose costs are added
+template <endpoint_score... Score>
+class basic_endpoint_chooser
+{
+  public:
+    explicit basic_endpoint_chooser(const chooser_policy& policy = {}, Score... scores)
+        : policy_(policy), scores_(std::move(scores)...)
+    {
+    }
+
+    /// @brief Chooses an endpoint. O(candidates * (scores + excluded + models per endpoint)).
+    /// @return nothing when no candidate is admissible
+    [[nodiscard]] std::optional<endpoint_choice> choose(std::span<const endpoint_candidate> candidates,
+                                                        const routing_query& query, random_source& random) const;
+
+    /// @brief Cost of one candidate in milliseconds, without the random part. @param affinity_counts see chooser_policy
+    [[nodiscard]] double cost(endpoint_candidate candidate, const routing_query& query, bool affinity_counts) const;
+
+  private:
+    chooser_policy policy_;
+    std::tuple<Score...> scores_;
+};
+
+template <endpoint_score... Score>
+double basic_endpoint_chooser<Score...>::cost(endpoint_candidate candidate, const routing_query& query,
+                                              bool affinity_counts) const
+{
+    if (!affinity_counts)
+    {
+        candidate.saved_tokens = 0;
+    }
+    return std::apply([&](const Score&... score) { return (0.0 + ... + static_cast<double>(score(candidate, query))); },
+                      scores_);
+}
+
+template <endpoint_score... Score>
+std::optional<endpoint_choice> basic_endpoint_chooser<Score...>::choose(std::span<const endpoint_candidate> candidates,
+                                                                        const routing_query& query,
+                                                                        random_source& random) const
+{
+    const double bound = detail::affinity_bound(candidates, query, policy_.affinity_load);
+    std::optional<endpoint_choice> best;
+    std::optional<endpoint_choice> fallback;
+    double lowest = std::numeric_limits<double>::infinity();
+    double highest_weight = -1.0;
+    for (const endpoint_candidate& candidate : candidates)
+    {
+        if (!detail::admissible(candidate, query))
+        {
+            continue;
+        }
+        const bool affinity_counts = detail::load_share(candidate.load) <= bound;
+        const double exact = cost(candidate, query, affinity_counts);
+        const endpoint_choice choice{candidate.entry, exact, affinity_counts ? candidate.saved_tokens : 0.0};
+        if (candidate.weight > highest_weight)
+        {
+            highest_weight = candidate.weight;
+            fallback = choice;
+        }
+        if (candidate.weight < 1.0 && random.fraction() >= candidate.weight)
+        {
+            continue;
+        }
+        const double perturbed = exact + std::max(1.0, std::abs(exact)) * policy_.herd_spread * random.fraction();
+        if (perturbed < lowest)
+        {
+            lowest = perturbed;
+            best = choice;
+        }
+    }
+    return best ? best : fallback;
+}
+
+} // namespace parsleyshift
