--- a/libs/entry/include/parsleyshift/entry/entry_selector.hpp
+++ b/libs/entry/include/parsleyshift/entry/entry_selector.hpp
@@ -47,6 +47,13 @@
     /// @param self this instance; later updates about it come through update()
     explicit entry_selector(const member_update& self, const entry_policy& policy = {});
 
+    // The index by slot points into the members.
+    entry_selector(const entry_selector&) = delete;
+    entry_selector& operator=(const entry_selector&) = delete;
+    entry_selector(entry_selector&&) = default;
+    entry_selector& operator=(entry_selector&&) = default;
+    ~entry_selector() = default;
+
     /// @brief Takes the slots and the shard size in force. O(1).
     void configure(const fleet_record& fleet);
     /// @brief Takes one change of the membership view. O(1) on average.
@@ -57,7 +64,7 @@
     void learn_zone(const zone_id& zone, const region_id& region);
 
     /// @brief Ranks entries for a caller. O(entry_slots), independent of the number of members, while the shard has a
-    /// usable member; otherwise O(entry_slots + members).
+    /// usable member; otherwise O(entry_slots + members * log(members)).
     /// @param zone the caller's availability zone; an unknown one gives no preference
     [[nodiscard]] entry_ranking select(const customer_id& customer, const zone_id& zone, random_source& random) const;
 
