--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -102,6 +102,8 @@
 struct configuration_pull
 {
     std::vector<std::uint32_t> buckets;
+    /// Only records that changed after this revision; 0: all.
+    revision after;
 };
 
 /// A record with what the sender knows about it.
@@ -110,6 +112,8 @@
     raw_record record;
     /// Set once any instance has put the record in force; never cleared.
     bool active = false;
+    /// False while no instance that reads the record's schema has checked it.
+    bool accepted = true;
 
     friend bool operator==(const shared_record&, const shared_record&) = default;
 };
@@ -119,6 +123,11 @@
 {
     revision highest;
     std::vector<shared_record> records;
+    /// True when the message holds every change in (after, highest].
+    bool complete = false;
+    revision after;
+    /// True for the answer to a pull, which the receiver does not pass on.
+    bool answer = false;
 };
 
 /// What a pool scheduler needs to know about one piece of work.
