--- /dev/null
+++ b/libs/records/include/parsleyshift/records/json_text.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <parsleyshift/records/json_issue.hpp> // read_result
+
+#include <nlohmann/json.hpp> // json
+
+#include <cstddef>     // size_t
+#include <string_view> // string_view
+
+namespace parsleyshift
+{
+
+/// @brief Bounds on a JSON document from outside.
+struct json_bounds
+{
+    /// The configuration service holds values of at most 1 MB.
+    std::size_t max_bytes = 1024 * 1024;
+    /// Nested objects and arrays, the outermost included.
+    int max_depth = 32;
+};
+
+/// @brief Parses JSON text within bounds. Never throws; linear in the size of the text.
+/// @return the document, or one issue: too large, too deep, not UTF-8 JSON, or a key given twice in an object
+read_result<nlohmann::json> parse_json(std::string_view text, const json_bounds& bounds = {});
+
+} // namespace parsleyshift
