Read settings and records of both schemas from one table of fields

The reader, the writer and the JSON Schemas come from the same table, so that they cannot drift; a property compares them on mutated documents.

--- a/libs/records/include/parsleyshift/records/check_records.hpp
+++ b/libs/records/include/parsleyshift/records/check_records.hpp
@@ -39,7 +39,7 @@
 /// @brief Checks records alone and against each other: unknown references, a missing default class, shares, and
 /// shards larger than the number of entry slots. Withdrawn records count as absent.
 /// Acceptance of a record never depends on others, so that findings across records are warnings.
-/// O(n log n) in the number of records.
+/// Linear in the number of records times the number of services; meant for operators, not for the daemon.
 std::vector<record_finding> check_records(const std::vector<raw_record>& records);
 
 } // namespace parsleyshift
--- a/libs/records/include/parsleyshift/records/json_reader.hpp
+++ b/libs/records/include/parsleyshift/records/json_reader.hpp
@@ -67,9 +67,10 @@
         return *this;
     }
     /// @brief Adds a nested object whose fields are members of the same struct.
-    json_reader& group(std::string_view name, json_reader nested)
+    /// @param required the object must be present
+    json_reader& group(std::string_view name, json_reader nested, bool required = false)
     {
-        entry added{std::string{name}, false, {}, {}, {}};
+        entry added{std::string{name}, required, {}, {}, {}};
         added.read = [nested](const nlohmann::json& in, T& out, const std::string& path, json_issues& issues)
         {
             nested.read(in, out, path, issues);
@@ -253,7 +254,7 @@
 
     static std::string join(const std::string& path, const std::string& name)
     {
-        return path.empty() ? name : path + "." + name;
+        return path.empty() || name.empty() ? path + name : path + "." + name;
     }
     template <class M>
     static void read_list(const json_reader<M>& nested, const nlohmann::json& in, std::vector<M>& out,
--- /dev/null
+++ b/libs/records/src/parse_record.cpp
@@ -0,0 +1,162 @@
+#include <parsleyshift/records/parse_record.hpp> // parse_record
+
+#include "record_readers.hpp" // record_readers
+
+#include <optional> // optional
+#include <regex>    // regex, regex_match
+#include <string>   // string, to_string
+#include <utility>  // move
+#include <variant>  // visit
+
+namespace parsleyshift
+{
+namespace
+{
+
+template <class Record>
+void set_name(Record& record, const std::string& name)
+{
+    if constexpr (requires { record.name; })
+    {
+        record.name = decltype(record.name){name};
+    }
+}
+
+template <class Record>
+read_result<record_body> read_as(const raw_record& raw)
+{
+    auto parsed = detail::record_readers<Record>::version(raw.schema).read_text(raw.body);
+    if (!parsed)
+    {
+        return parsed.error();
+    }
+    Record record = std::move(parsed).value();
+    set_name(record, raw.name);
+    return record_body{std::move(record)};
+}
+
+read_result<record_body> read_body(record_kind kind, const raw_record& raw)
+{
+    switch (kind)
+    {
+    case record_kind::service:
+        return read_as<service_record>(raw);
+    case record_kind::customer:
+        return read_as<customer_record>(raw);
+    case record_kind::model:
+        return read_as<model_record>(raw);
+    case record_kind::priority:
+        return read_as<priority_record>(raw);
+    case record_kind::fleet:
+        break;
+    }
+    return read_as<fleet_record>(raw);
+}
+
+record_body empty_record(record_kind kind)
+{
+    switch (kind)
+    {
+    case record_kind::service:
+        return service_record{};
+    case record_kind::customer:
+        return customer_record{};
+    case record_kind::model:
+        return model_record{};
+    case record_kind::priority:
+        return priority_record{};
+    case record_kind::fleet:
+        break;
+    }
+    return fleet_record{};
+}
+
+/// An error before the body is looked at.
+struct refusal
+{
+    error_kind kind;
+    json_issue issue;
+};
+
+std::optional<refusal> refuse(const raw_record& raw)
+{
+    const auto kind = value_of<record_kind>(raw.kind);
+    if (!kind.has_value())
+    {
+        return refusal{error_kind::unknown_name,
+                       {"kind", "is not a kind of record", "write service, customer, model, priority or fleet"}};
+    }
+    if (raw.schema < 1 || raw.schema > latest_record_schema)
+    {
+        return refusal{error_kind::unsupported_schema,
+                       {"schema", "is version " + std::to_string(raw.schema) + ", which this build does not read",
+                        "write the record in schema 1 to " + std::to_string(latest_record_schema)}};
+    }
+    static const std::regex name_form{patterns::name.begin(), patterns::name.end()};
+    if (raw.name.size() > 63 || !std::regex_match(raw.name, name_form))
+    {
+        return refusal{error_kind::invalid_field,
+                       {"name", "has a form that is not allowed", "match " + std::string{patterns::name}}};
+    }
+    if (*kind == record_kind::fleet && raw.name != fleet_record_name)
+    {
+        return refusal{error_kind::invalid_field, {"name", "must be fleet", "rename the record"}};
+    }
+    if (raw.withdrawn)
+    {
+        return refusal{error_kind::invalid_field,
+                       {"withdrawn", "is true, so that the record has no body", "write the record again"}};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+read_result<record_body> inspect_record(const raw_record& raw)
+{
+    if (auto refused = refuse(raw))
+    {
+        json_issues issues;
+        issues.add(refused->issue.path, refused->issue.reason, refused->issue.remedy);
+        return issues;
+    }
+    return read_body(*value_of<record_kind>(raw.kind), raw);
+}
+
+result<record_body> parse_record(const raw_record& raw)
+{
+    const std::string label = raw.kind.substr(0, 64) + "/" + raw.name.substr(0, 64) + ": ";
+    if (const auto refused = refuse(raw))
+    {
+        return make_error(refused->kind, label + refused->issue.path + " " + refused->issue.reason);
+    }
+    auto read = read_body(*value_of<record_kind>(raw.kind), raw);
+    if (!read)
+    {
+        return make_error(error_kind::invalid_field, label + read.error().text());
+    }
+    return std::move(read).value();
+}
+
+std::string write_record(const record_body& body, int schema)
+{
+    const auto write = [schema]<class Record>(const Record& record)
+    {
+        return detail::record_readers<Record>::version(schema).write(record).dump();
+    };
+    return std::visit(write, body);
+}
+
+std::string record_schema(record_kind kind, int schema)
+{
+    const auto describe = [schema]<class Record>(const Record&)
+    {
+        return detail::record_readers<Record>::version(schema).schema();
+    };
+    nlohmann::json described = std::visit(describe, empty_record(kind));
+    described["$schema"] = "https://json-schema.org/draft/2020-12/schema";
+    described["title"] = std::string{name_of(kind)} + " record, schema " + std::to_string(schema);
+    return described.dump(4) + "\n";
+}
+
+} // namespace parsleyshift
--- /dev/null
+++ b/libs/records/src/record_readers.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <parsleyshift/records/json_reader.hpp> // json_reader
+#include <parsleyshift/records/record.hpp>      // customer_record, fleet_record, model_record, priority_record
+
+namespace parsleyshift::detail
+{
+
+/// @brief The tables of fields of one record type, by schema version.
+template <class Record>
+struct record_readers;
+
+template <>
+struct record_readers<service_record>
+{
+    static const json_reader<service_record>& version(int schema);
+};
+
+template <>
+struct record_readers<customer_record>
+{
+    static const json_reader<customer_record>& version(int schema);
+};
+
+template <>
+struct record_readers<model_record>
+{
+    static const json_reader<model_record>& version(int schema);
+};
+
+template <>
+struct record_readers<priority_record>
+{
+    static const json_reader<priority_record>& version(int schema);
+};
+
+template <>
+struct record_readers<fleet_record>
+{
+    static const json_reader<fleet_record>& version(int schema);
+};
+
+} // namespace parsleyshift::detail
--- /dev/null
+++ b/libs/records/tests/records_test.cpp
@@ -0,0 +1,290 @@
+#include <parsleyshift/test_support/property.hpp> // check_property
+
+#include "schema_check.hpp" // schema_check
+
+#include <parsleyshift/records/check_records.hpp> // check_records
+#include <parsleyshift/records/json_text.hpp>     // parse_json
+#include <parsleyshift/records/parse_record.hpp>  // parse_record
+
+#include <fstream> // ifstream
+#include <sstream> // stringstream
+#include <string>  // string
+
+using namespace parsleyshift;
+using nlohmann::json;
+
+namespace
+{
+
+/// The same record in both schema versions, with no field at its default.
+struct example
+{
+    record_kind kind;
+    const char* name;
+    const char* first;
+    const char* second;
+};
+
+constexpr std::array examples{
+    example{record_kind::service, "yard-desk",
+            R"({"kind":"plain","operations":[{"name":"paint_order","idempotent":false}],"default_class":"short",
+                "max_tokens":7,"checks_keys":true,"honours_fencing":false})",
+            R"({"endpoints":"plain","operations":[{"name":"paint_order","repeatable":false}],"default_class":"short",
+                "generation":{"max_tokens":7},"checks":{"order_keys":true,"fencing":false}})"},
+    example{record_kind::customer, "alpha", R"({"weight":2.5,"tokens_per_second":900,"burst_tokens":1800})",
+            R"({"weight":2.5,"limit":{"rate":900,"burst":1800}})"},
+    example{record_kind::model, "plan-1",
+            R"({"service":"plan-writers","version":"3","adapters":["turf"],"role":"prefill","weight_bytes":8000,
+                "min_ready":2,"share":0.5})",
+            R"({"service":"plan-writers","version":"3","adapters":["turf"],"role":"prefill","weight_bytes":8000,
+                "placement":{"min_ready":2,"share":0.5}})"},
+    example{record_kind::priority, "short",
+            R"({"level":9,"reserved":true,"queue_limit":50,"default_timeout_ms":1200,"hedged":true})",
+            R"({"level":9,"lane":"reserved","queue":{"limit":50,"timeout_ms":1200},"hedged":true})"},
+    example{record_kind::fleet, "fleet",
+            R"({"entry_slots":9,"shard_size":4,"store_bytes_per_second":1000,"store_region":"lagos"})",
+            R"({"entry":{"slots":9,"shard_size":4},"weight_store":{"bytes_per_second":1000,"region":"lagos"}})"},
+};
+
+raw_record raw_of(record_kind kind, const std::string& name, int schema, const std::string& body)
+{
+    return {std::string{name_of(kind)}, name, revision{1}, schema, false, body};
+}
+
+const char* body_of(const example& each, int schema)
+{
+    return schema == 1 ? each.first : each.second;
+}
+
+std::string read_file(const std::string& path)
+{
+    std::ifstream file{path};
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+rc::Gen<json> arbitrary_json(int depth)
+{
+    const auto leaf = rc::gen::oneOf(
+        rc::gen::map(rc::gen::arbitrary<bool>(), [](bool value) { return json(value); }),
+        rc::gen::map(rc::gen::arbitrary<std::int64_t>(), [](std::int64_t value) { return json(value); }),
+        rc::gen::map(rc::gen::inRange(-3, 3), [](int value) { return json(value / 2.0); }),
+        rc::gen::element(json(), json("short"), json("engine"), json(""), json("no such"), json("x\ny"), json("plain")),
+        rc::gen::map(rc::gen::string<std::string>(), [](const std::string& value) { return json(value); }));
+    if (depth == 0)
+    {
+        return leaf;
+    }
+    const auto list = rc::gen::map(rc::gen::resize(4, rc::gen::container<std::vector<json>>(arbitrary_json(depth - 1))),
+                                   [](const std::vector<json>& items) { return json(items); });
+    const auto object = rc::gen::map(list, [](const json& items) { return json{{"name", items}, {"limit", items}}; });
+    return rc::gen::oneOf(leaf, list, object);
+}
+
+/// Replaces, removes or adds one value at an arbitrary place of a document.
+void mutate(json& document)
+{
+    json* place = &document;
+    while (place->is_structured() && !place->empty() && *rc::gen::inRange(0, 3) != 0)
+    {
+        auto child = place->begin();
+        std::advance(child, *rc::gen::inRange<int>(0, static_cast<int>(place->size())));
+        place = &*child;
+    }
+    const int action = *rc::gen::inRange(0, 3);
+    if (action == 0 && place->is_object() && !place->empty())
+    {
+        place->erase(place->begin());
+    }
+    else if (action == 1 && place->is_object())
+    {
+        (*place)[*rc::gen::element<std::string>("unknown", "weight", "lane", "limit", "")] = *arbitrary_json(1);
+    }
+    else
+    {
+        *place = *arbitrary_json(1);
+    }
+}
+
+} // namespace
+
+TEST_GROUP(records){};
+
+// Guards against a renamed field that loses its value when operators move to the newer schema.
+TEST(records, both_schemas_give_the_same_record_and_write_back)
+{
+    for (const example& each : examples)
+    {
+        const auto first = parse_record(raw_of(each.kind, each.name, 1, each.first));
+        const auto second = parse_record(raw_of(each.kind, each.name, 2, each.second));
+        CHECK_TRUE_TEXT(first.has_value(), each.name);
+        CHECK_TRUE_TEXT(second.has_value(), each.name);
+        CHECK(kind_of(first.value()) == each.kind);
+        // The examples leave out only empty fields, so each written body must hold every value of its example.
+        for (const int schema : {1, 2})
+        {
+            const json written = json::parse(write_record(first.value(), schema));
+            STRCMP_EQUAL(written.dump().c_str(), json::parse(write_record(second.value(), schema)).dump().c_str());
+            const json given = json::parse(body_of(each, schema));
+            json merged = written;
+            merged.merge_patch(given);
+            STRCMP_EQUAL(merged.dump().c_str(), written.dump().c_str());
+        }
+    }
+}
+
+TEST(records, refuses_what_it_cannot_read_with_the_right_kind)
+{
+    const auto kind_of_error = [](raw_record raw)
+    {
+        return parse_record(raw).error().kind;
+    };
+    CHECK(kind_of_error(raw_of(record_kind::customer, "a", 3, "{}")) == error_kind::unsupported_schema);
+    CHECK(kind_of_error(raw_of(record_kind::customer, "a", 0, "{}")) == error_kind::unsupported_schema);
+    CHECK(kind_of_error({"colour", "a", revision{1}, 1, false, "{}"}) == error_kind::unknown_name);
+    CHECK(kind_of_error(raw_of(record_kind::customer, "a b", 1, "{}")) == error_kind::invalid_field);
+    CHECK(kind_of_error(raw_of(record_kind::fleet, "other", 1, R"({"entry_slots":8})")) == error_kind::invalid_field);
+    CHECK(kind_of_error({"customer", "a", revision{1}, 1, true, ""}) == error_kind::invalid_field);
+    CHECK(kind_of_error(raw_of(record_kind::customer, "a", 1, R"({"tokens_per_second":5})")) ==
+          error_kind::invalid_field);
+}
+
+// Guards against a reader that stops at the first mistake, so that an operator corrects a record many times.
+TEST(records, every_mistake_is_reported_with_its_path)
+{
+    const auto read = inspect_record(raw_of(
+        record_kind::service, "s", 1,
+        R"({"kind":"motor","operations":[{"name":"a"},{"name":"","idempotent":1}],"max_tokens":0.5,"colour":1})"));
+    CHECK_FALSE(read.has_value());
+    const std::string text = read.error().text();
+    for (const char* path :
+         {"kind:", "operations[1].name:", "operations[1].idempotent:", "max_tokens:", "colour:", "default_class:"})
+    {
+        CHECK_TRUE_TEXT(text.find(path) != std::string::npos, path);
+    }
+    for (const json_issue& issue : read.error().all())
+    {
+        CHECK_FALSE(issue.remedy.empty());
+    }
+}
+
+// Guards against nlohmann/json's habit of keeping the last of two equal keys, and against unbounded nesting.
+TEST(records, text_is_bounded_and_keys_are_unique)
+{
+    CHECK_FALSE(parse_json(R"({"a":1,"b":{"a":2,"a":3}})").has_value());
+    CHECK(parse_json(R"({"a":1,"b":{"a":2},"c":[{"a":3}]})").has_value());
+    CHECK(parse_json("[[[]]]", {100, 3}).has_value());
+    CHECK_FALSE(parse_json("[[[[]]]]", {100, 3}).has_value());
+    CHECK_FALSE(parse_json(std::string(500'000, '['), {}).has_value());
+    CHECK_FALSE(parse_json("[1,2,3]", {6, 3}).has_value());
+    CHECK_FALSE(parse_json("{\"a\":\"\xff\"}").has_value());
+}
+
+TEST(records, arbitrary_bodies_never_crash_the_reader)
+{
+    test_support::check_property(
+        "any text gives a record or issues",
+        []
+        {
+            const auto text =
+                *rc::gen::oneOf(rc::gen::string<std::string>(),
+                                rc::gen::map(arbitrary_json(3), [](const json& any)
+                                             { return any.dump(-1, ' ', false, json::error_handler_t::replace); }));
+            for (const auto& kind : enum_names<record_kind>::rows)
+            {
+                const raw_record raw = raw_of(kind.value, "fleet", *rc::gen::inRange(0, 4), text);
+                RC_ASSERT(parse_record(raw).has_value() == inspect_record(raw).has_value());
+            }
+        });
+}
+
+// Guards against a published schema that admits records which no instance accepts, and the reverse.
+TEST(records, schema_and_reader_accept_the_same_documents)
+{
+    int accepted = 0;
+    int rejected = 0;
+    test_support::check_property(
+        "the schema accepts a document exactly when the reader does, further conditions aside",
+        [&accepted, &rejected]
+        {
+            const example each = examples[*rc::gen::inRange<std::size_t>(0, examples.size())];
+            const int schema = *rc::gen::inRange(1, latest_record_schema + 1);
+            json document = json::parse(body_of(each, schema));
+            mutate(document);
+            const std::string text = document.dump(-1, ' ', false, json::error_handler_t::replace);
+            const auto read = inspect_record(raw_of(each.kind, each.name, schema, text));
+            const json described = json::parse(record_schema(each.kind, schema));
+            const bool by_schema = schema_check::accepts(described, json::parse(text));
+            // A condition over several fields is the only reason for which the schema may be wider.
+            const bool by_condition =
+                !read && read.error().all().size() == 1 && described.contains("$comment") &&
+                described["$comment"].get<std::string>().find(read.error().all().front().reason) != std::string::npos;
+            RC_ASSERT(by_schema == (read.has_value() || by_condition));
+            ++(by_schema ? accepted : rejected);
+        });
+    CHECK(accepted > 10);
+    CHECK(rejected > 10);
+}
+
+// Guards against committed schemas that lag behind the tables; `parsleyctl schema --write schemas` renews them.
+TEST(records, committed_schemas_are_current)
+{
+    for (const auto& kind : enum_names<record_kind>::rows)
+    {
+        for (int schema = 1; schema <= latest_record_schema; ++schema)
+        {
+            const std::string file = std::string{kind.name} + "." + std::to_string(schema) + ".json";
+            STRCMP_EQUAL(record_schema(kind.value, schema).c_str(),
+                         read_file(std::string{SCHEMA_FOLDER} + "/" + file).c_str());
+        }
+    }
+}
+
+TEST(records, written_customers_read_back)
+{
+    test_support::check_property("a written customer reads back in both schemas",
+                                 []
+                                 {
+                                     customer_record customer;
+                                     customer.name = customer_id{"alpha"};
+                                     customer.weight = *rc::gen::inRange(1, 1'000'000) / 1000.0;
+                                     customer.tokens_per_second = *rc::gen::inRange<std::int64_t>(0, 1'000'000'000);
+                                     customer.burst_tokens = *rc::gen::inRange<std::int64_t>(1, 1'000'000'000);
+                                     for (int schema = 1; schema <= latest_record_schema; ++schema)
+                                     {
+                                         const auto read = parse_record(raw_of(record_kind::customer, "alpha", schema,
+                                                                               write_record(customer, schema)));
+                                         RC_ASSERT(read.has_value());
+                                         const auto& back = std::get<customer_record>(read.value());
+                                         RC_ASSERT(back.name == customer.name && back.weight == customer.weight);
+                                         RC_ASSERT(back.tokens_per_second == customer.tokens_per_second);
+                                         RC_ASSERT(back.burst_tokens == customer.burst_tokens);
+                                     }
+                                 });
+}
+
+// Guards against references between records that no one notices until requests fail.
+TEST(records, references_between_records_are_warnings)
+{
+    const std::vector<raw_record> records{
+        raw_of(record_kind::service, "writers", 1, R"({"kind":"engine","models":["big"],"default_class":"long"})"),
+        raw_of(record_kind::model, "small", 1, R"({"service":"writers","version":"1","share":0})"),
+        raw_of(record_kind::model, "lost", 1, R"({"service":"nowhere","version":"1"})"),
+        raw_of(record_kind::customer, "bad", 1, R"({"weight":-1})"),
+    };
+    std::string found;
+    for (const record_finding& finding : check_records(records))
+    {
+        found += std::string{name_of(finding.grade)} + " " + finding.kind + "/" + finding.name + " " +
+                 finding.issue.path + "\n";
+    }
+    STRCMP_EQUAL("error customer/bad weight\n"
+                 "warning service/writers default_class\n"
+                 "warning service/writers models[0]\n"
+                 "warning service/writers models\n"
+                 "warning model/small service\n"
+                 "warning model/lost service\n"
+                 "warning fleet/fleet \n",
+                 found.c_str());
+}
