--- a/libs/messages/include/parsleyshift/messages/action.hpp
+++ b/libs/messages/include/parsleyshift/messages/action.hpp
@@ -267,10 +267,18 @@
 {
 };
 
+/// Answer to an operator query.
+struct operator_answer
+{
+    request_id request;
+    /// JSON text.
+    std::string json;
+};
+
 /// @brief Everything that a decision core can ask of its surroundings.
 using action = std::variant<start_generation, resume_generation, cancel_attempt, set_attempt_reading, start_call,
                             stream_started, stream_tokens, stream_ended, whole_answer, call_answer, request_rejected,
                             entry_answer, key_answer, cancel_answer, send_to_peer, read_configuration, watch_endpoint,
-                            send_placement_order, observe, request_finished, write_log, stop_complete>;
+                            send_placement_order, observe, request_finished, write_log, stop_complete, operator_answer>;
 
 } // namespace parsleyshift
--- a/libs/messages/include/parsleyshift/messages/event.hpp
+++ b/libs/messages/include/parsleyshift/messages/event.hpp
@@ -134,10 +134,11 @@
 };
 
 /// @brief Everything that can happen to a decision core.
-using event = std::variant<generation_request, resume_request, cancel_request, call_request, key_request, order_request,
-                           order_query, entry_query, caller_disconnected, caller_stalled, caller_drained,
-                           attempt_started, attempt_tokens, attempt_ended, attempt_failed, call_answered, load_reported,
-                           load_unavailable, cache_reported, placement_answered, configuration_received,
-                           configuration_unavailable, instances_listed, peer_received, stop_planned, timer_expired>;
+using event =
+    std::variant<generation_request, resume_request, cancel_request, call_request, key_request, order_request,
+                 order_query, entry_query, caller_disconnected, caller_stalled, caller_drained, attempt_started,
+                 attempt_tokens, attempt_ended, attempt_failed, call_answered, load_reported, load_unavailable,
+                 cache_reported, placement_answered, configuration_received, configuration_unavailable,
+                 instances_listed, peer_received, stop_planned, timer_expired, operator_query>;
 
 } // namespace parsleyshift
--- a/libs/messages/include/parsleyshift/messages/request.hpp
+++ b/libs/messages/include/parsleyshift/messages/request.hpp
@@ -130,4 +130,34 @@
     zone_id availability_zone;
 };
 
+/// @brief What an operator asks an instance about itself.
+enum class operator_view
+{
+    /// State of the instance and its view of the deployment.
+    status,
+    /// How a request of one customer to one service would be handled now, and why.
+    explain,
+    /// The records in force, with their revisions.
+    records,
+};
+
+template <>
+struct enum_names<operator_view>
+{
+    static constexpr std::array rows{enum_name<operator_view>{operator_view::status, "status"},
+                                     enum_name<operator_view>{operator_view::explain, "explain"},
+                                     enum_name<operator_view>{operator_view::records, "records"}};
+};
+
+/// @brief An operator asks for a view; answered with operator_answer.
+struct operator_query
+{
+    request_id request;
+    operator_view what = operator_view::status;
+    /// For explain.
+    customer_id customer;
+    /// For explain.
+    service_id service;
+};
+
 } // namespace parsleyshift
