--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -63,6 +63,7 @@
 {
     std::uint64_t sequence = 0;
     std::vector<member_update> updates;
+    friend bool operator==(const probe&, const probe&) = default;
 };
 
 /// Answer to a probe; `about` is the member that was probed.
@@ -71,6 +72,7 @@
     std::uint64_t sequence = 0;
     instance_id about;
     std::vector<member_update> updates;
+    friend bool operator==(const probe_ack&, const probe_ack&) = default;
 };
 
 /// Asks the receiver to probe `target` and to pass the acknowledgement on.
@@ -79,6 +81,7 @@
     std::uint64_t sequence = 0;
     instance_id target;
     std::string target_address;
+    friend bool operator==(const probe_request&, const probe_request&) = default;
 };
 
 /// Member updates outside of probes: join answers and the announcement of a planned stop.
@@ -87,6 +90,7 @@
     std::vector<member_update> updates;
     /// The sender asks for the receiver's whole view.
     bool wants_all = false;
+    friend bool operator==(const member_updates&, const member_updates&) = default;
 };
 
 inline constexpr std::size_t configuration_buckets = 64;
@@ -96,12 +100,14 @@
 {
     revision highest;
     std::array<std::uint64_t, configuration_buckets> bucket_hashes{};
+    friend bool operator==(const configuration_digest&, const configuration_digest&) = default;
 };
 
 /// Asks for the records in the buckets that differ.
 struct configuration_pull
 {
     std::vector<std::uint32_t> buckets;
+    friend bool operator==(const configuration_pull&, const configuration_pull&) = default;
 };
 
 /// A record with what the sender knows about it.
@@ -119,6 +125,7 @@
 {
     revision highest;
     std::vector<shared_record> records;
+    friend bool operator==(const configuration_records&, const configuration_records&) = default;
 };
 
 /// What a pool scheduler needs to know about one piece of work.
@@ -135,6 +142,7 @@
     std::vector<std::uint64_t> prefixes;
     /// Time by which the work must have started.
     time_point start_by = never;
+    friend bool operator==(const work_description&, const work_description&) = default;
 };
 
 /// Asks a pool scheduler for a permit.
@@ -142,6 +150,7 @@
 {
     pool_id pool;
     work_description work;
+    friend bool operator==(const permit_request&, const permit_request&) = default;
 };
 
 /// Grants a permit for one attempt.
@@ -154,6 +163,7 @@
     /// Tokens of engine memory reserved.
     std::int64_t reserved = 0;
     time_point expires;
+    friend bool operator==(const permit_grant&, const permit_grant&) = default;
 };
 
 /// Rejects a permit request.
@@ -161,6 +171,7 @@
 {
     request_id request;
     error why;
+    friend bool operator==(const permit_denial&, const permit_denial&) = default;
 };
 
 /// The requester no longer waits.
@@ -168,6 +179,7 @@
 {
     pool_id pool;
     request_id request;
+    friend bool operator==(const permit_withdrawal&, const permit_withdrawal&) = default;
 };
 
 /// Returns a permit with what the attempt really used.
@@ -180,6 +192,7 @@
     class_id work_class;
     std::int64_t tokens = 0;
     bool completed = false;
+    friend bool operator==(const permit_return&, const permit_return&) = default;
 };
 
 /// A permit in use, registered with a scheduler that does not know it; also renews a known one.
@@ -191,6 +204,7 @@
     work_description work;
     std::int64_t tokens_so_far = 0;
     int priority = 0;
+    friend bool operator==(const permit_registration&, const permit_registration&) = default;
 };
 
 /// An order on its way to its home instance.
@@ -204,6 +218,7 @@
     std::string key;
     /// False: only asks for the state.
     bool place = true;
+    friend bool operator==(const order_forward&, const order_forward&) = default;
 };
 
 /// The home's answer to order_forward.
@@ -215,6 +230,7 @@
     std::optional<error> why;
     /// Set for unknown: no send can happen after this time.
     time_point settled_after = never;
+    friend bool operator==(const order_reply&, const order_reply&) = default;
 };
 
 /// Budget lent by the holder of one entry slot to another; already debited at the lender.
@@ -223,6 +239,7 @@
     customer_id customer;
     std::uint64_t sequence = 0;
     std::int64_t tokens = 0;
+    friend bool operator==(const budget_loan&, const budget_loan&) = default;
 };
 
 /// The sender's share of a customer's budget is used up; the receiver may lend.
@@ -230,6 +247,7 @@
 {
     customer_id customer;
     std::int64_t tokens = 0;
+    friend bool operator==(const budget_request&, const budget_request&) = default;
 };
 
 /// Endpoint deaths that one request fingerprint is held responsible for.
@@ -239,6 +257,7 @@
     /// Endpoints that died while running it.
     std::vector<endpoint_id> deaths;
     time_point expires;
+    friend bool operator==(const quarantine_notice&, const quarantine_notice&) = default;
 };
 
 using peer_message =
@@ -256,6 +275,7 @@
     /// Highest configuration revision that the sender has accepted.
     revision highest;
     peer_message message;
+    friend bool operator==(const peer_envelope&, const peer_envelope&) = default;
 };
 
 } // namespace parsleyshift
