--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -90,7 +90,7 @@
     6: i64 prompt_tokens
     7: i64 max_tokens
     8: list<i64> prefixes
-    9: i64 start_by
+    9: i64 start_by = 9223372036854775807
 }
 
 struct permit_request
@@ -159,7 +159,7 @@
     2: i32 what
     3: string result
     4: optional failure why
-    5: i64 settled_after
+    5: i64 settled_after = 9223372036854775807
 }
 
 struct budget_loan
