--- a/libs/membership/include/parsleyshift/membership/membership.hpp
+++ b/libs/membership/include/parsleyshift/membership/membership.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <parsleyshift/core/clock.hpp>             // time_point
-#include <parsleyshift/core/random_source.hpp>     // random_source
+#include <parsleyshift/core/clock.hpp>              // time_point
+#include <parsleyshift/core/random_source.hpp>      // random_source
 #include <parsleyshift/membership/member_table.hpp> // member_table
-#include <parsleyshift/membership/output.hpp>      // membership_output
-#include <parsleyshift/membership/settings.hpp>    // membership_settings
+#include <parsleyshift/membership/output.hpp>       // membership_output
+#include <parsleyshift/membership/settings.hpp>     // membership_settings
 #include <parsleyshift/membership/update_queue.hpp> // update_queue
-#include <parsleyshift/messages/peer.hpp>          // member_update, peer_envelope
-#include <parsleyshift/messages/platform.hpp>      // listed_instance
+#include <parsleyshift/messages/peer.hpp>           // member_update, peer_envelope
+#include <parsleyshift/messages/platform.hpp>       // listed_instance
 
 #include <cstddef>  // size_t
 #include <cstdint>  // uint64_t
