--- /dev/null
+++ b/libs/scheduling/tests/scheduler_harness.hpp
@@ -0,0 +1,361 @@
+#pragma once
+
+#include <parsleyshift/scheduling/pool_scheduler.hpp> // pool_scheduler
+
+#include <algorithm> // max
+#include <cstdint>   // int64_t
+#include <map>       // map
+#include <set>       // set
+#include <string>    // to_string
+#include <utility>   // move
+#include <vector>    // vector
+
+namespace parsleyshift::test
+{
+
+/// Drives one pool scheduler in virtual time against engines that produce one token per stream each 10 ms.
+class scheduler_harness
+{
+  public:
+    static constexpr std::int64_t memory = 4'000;
+    static constexpr std::int64_t slots = 12;
+    static constexpr std::int64_t prompt = 50;
+
+    explicit scheduler_harness(std::size_t endpoints) : scheduler_(make_scheduler())
+    {
+        for (std::size_t number = 0; number < endpoints; ++number)
+        {
+            endpoints_.push_back(endpoint_id{"e" + std::to_string(number)});
+        }
+        for (int sample = 0; sample < 100; ++sample)
+        {
+            lengths_.record(class_id{"plan"}, customer_id{"any"}, length_of("plan"), now_);
+            lengths_.record(class_id{"check"}, customer_id{"any"}, length_of("check"), now_);
+            lengths_.record(class_id{"urgent"}, customer_id{"any"}, length_of("urgent"), now_);
+        }
+        add_endpoints();
+        report_all();
+    }
+
+    void request(std::uint64_t number, const std::string& name, const std::string& customer)
+    {
+        request_log& log = requests_[number];
+        log.name = name;
+        log.customer = customer;
+        repeat_request(number);
+    }
+    void repeat_request(std::uint64_t number)
+    {
+        const auto found = requests_.find(number);
+        if (found != requests_.end() && !found->second.left)
+        {
+            take(scheduler_.request(self_, permit_request{pool_, describe(number)}, now_));
+        }
+    }
+    void withdraw(std::uint64_t number)
+    {
+        const auto found = requests_.find(number);
+        if (found != requests_.end())
+        {
+            found->second.left = true;
+            take(scheduler_.withdraw(self_, permit_withdrawal{pool_, request_id{number}}, now_));
+        }
+    }
+    void give_back(std::uint64_t number)
+    {
+        const auto found = requests_.find(number);
+        if (found == requests_.end() || found->second.permits.empty())
+        {
+            return;
+        }
+        request_log& log = found->second;
+        log.left = true;
+        running_.erase(number);
+        permit_return returned{
+            pool_, log.permits.back(), log.endpoint, customer_id{log.customer}, class_id{log.name}, log.tokens, true};
+        take(scheduler_.give_back(self_, returned, now_));
+    }
+    void pass(duration time)
+    {
+        const time_point end = now_ + time;
+        while (scheduler_.next_deadline() <= end)
+        {
+            now_ = std::max(now_, scheduler_.next_deadline());
+            take(scheduler_.advance(now_));
+        }
+        now_ = end;
+    }
+    void change_endpoint(std::uint16_t choice)
+    {
+        if (endpoints_.empty())
+        {
+            return;
+        }
+        const endpoint_id& changed = endpoints_[choice % endpoints_.size()];
+        if (choice % 3 == 0)
+        {
+            take(scheduler_.remove_endpoint(changed, now_));
+            end_permits_at(changed);
+            return;
+        }
+        take(scheduler_.add_endpoint(changed, now_));
+        take(scheduler_.report(report_of(changed), now_));
+    }
+    /// One step of the engines: each stream gets a token and ends at its class's length times the factor.
+    void run_step(std::int64_t factor)
+    {
+        pass(duration{10});
+        ++steps_;
+        std::vector<std::uint64_t> ended;
+        for (const std::uint64_t number : running_)
+        {
+            request_log& log = requests_[number];
+            if (++log.tokens >= factor * length_of(log.name))
+            {
+                ended.push_back(number);
+            }
+        }
+        for (const std::uint64_t number : ended)
+        {
+            // The true length is kept from the estimator, so that a wrong prediction stays wrong.
+            request_log& log = requests_[number];
+            running_.erase(number);
+            log.left = true;
+            take(scheduler_.give_back(self_, permit_return{pool_, log.permits.back(), {}, {}, {}, 0, false}, now_));
+        }
+        if (steps_ % 20 == 0)
+        {
+            register_all();
+            report_all();
+        }
+    }
+    void register_all()
+    {
+        for (const std::uint64_t number : running_)
+        {
+            request_log& log = requests_[number];
+            const permit_registration registration{
+                pool_, log.permits.back(), log.endpoint, describe(number), log.tokens, 0};
+            take(scheduler_.register_permit(self_, registration, now_));
+            log.expires = now_ + settings_.permit_lifetime;
+        }
+    }
+    void report_all()
+    {
+        for (const endpoint_id& endpoint : endpoints_)
+        {
+            take(scheduler_.report(report_of(endpoint), now_));
+        }
+    }
+    /// A new scheduler process that knows nothing but the endpoints' names.
+    void restart()
+    {
+        now_ += duration{1};
+        scheduler_ = make_scheduler();
+        add_endpoints();
+    }
+    void take(const scheduling_decisions& decisions)
+    {
+        for (const scheduling_decision& decision : decisions)
+        {
+            if (const auto* grant = std::get_if<permit_grant>(&decision.message))
+            {
+                take_grant(*grant);
+                continue;
+            }
+            const permit_denial& denial = std::get<permit_denial>(decision.message);
+            request_log& log = requests_[denial.request.value()];
+            contradiction_ = contradiction_ || holds_permit(log) || log.denied || log.left;
+            log.denied = true;
+            log.left = true;
+            ++denials_[denial.why.kind];
+            retry_missing_ = retry_missing_ || !denial.why.retry_after || denial.why.retry_after->count() <= 0;
+        }
+    }
+
+    [[nodiscard]] std::int64_t largest_memory_used() const
+    {
+        std::int64_t largest = 0;
+        for (const endpoint_id& endpoint : endpoints_)
+        {
+            largest = std::max(largest, report_of(endpoint).memory_used);
+        }
+        return largest;
+    }
+    [[nodiscard]] bool was_granted(std::uint64_t number) const
+    {
+        return !requests_.at(number).permits.empty();
+    }
+    [[nodiscard]] bool was_denied(std::uint64_t number) const
+    {
+        return requests_.at(number).denied;
+    }
+    [[nodiscard]] endpoint_id granted_endpoint(std::uint64_t number) const
+    {
+        return requests_.at(number).endpoint;
+    }
+    [[nodiscard]] int denied_count(error_kind kind) const
+    {
+        const auto found = denials_.find(kind);
+        return found == denials_.end() ? 0 : found->second;
+    }
+    /// Requests that neither ended nor were denied.
+    [[nodiscard]] int unfinished() const
+    {
+        int count = 0;
+        for (const auto& [number, log] : requests_)
+        {
+            count += log.left ? 0 : 1;
+        }
+        return count;
+    }
+    /// Requests that neither left nor got a decision.
+    [[nodiscard]] int undecided() const
+    {
+        int count = 0;
+        for (const auto& [number, log] : requests_)
+        {
+            count += log.left || log.denied || !log.permits.empty() ? 0 : 1;
+        }
+        return count;
+    }
+    [[nodiscard]] bool contradiction() const
+    {
+        return contradiction_;
+    }
+    [[nodiscard]] int grants_while_full() const
+    {
+        return grants_while_full_;
+    }
+    [[nodiscard]] bool every_denial_has_a_retry_time() const
+    {
+        return !retry_missing_;
+    }
+    [[nodiscard]] time_point now() const
+    {
+        return now_;
+    }
+    [[nodiscard]] const endpoint_id& endpoint(std::size_t at) const
+    {
+        return endpoints_[at];
+    }
+    [[nodiscard]] const scheduler_settings& settings() const
+    {
+        return settings_;
+    }
+    pool_scheduler& scheduler()
+    {
+        return scheduler_;
+    }
+
+  private:
+    struct request_log
+    {
+        std::string name;
+        std::string customer;
+        std::vector<permit_id> permits;
+        endpoint_id endpoint;
+        std::int64_t tokens = 0;
+        /// End of the permit: not renewed, or its endpoint was removed.
+        time_point expires;
+        bool denied = false;
+        /// Withdrawn, returned or denied: the request is over.
+        bool left = false;
+    };
+
+    static std::int64_t length_of(const std::string& name)
+    {
+        return name == "plan" ? 200 : 10;
+    }
+    pool_scheduler make_scheduler()
+    {
+        pool_scheduler made{pool_, settings_, lengths_, static_cast<std::uint64_t>(now_.time_since_epoch().count()),
+                            now_};
+        made.set_class(priority_record{class_id{"plan"}, 0, lane::shared, 100, duration{60'000}, false});
+        made.set_class(priority_record{class_id{"check"}, 2, lane::reserved, 100, duration{60'000}, false});
+        made.set_class(priority_record{class_id{"urgent"}, 2, lane::shared, 100, duration{60'000}, false});
+        return made;
+    }
+    void add_endpoints()
+    {
+        for (const endpoint_id& endpoint : endpoints_)
+        {
+            take(scheduler_.add_endpoint(endpoint, now_));
+        }
+    }
+    [[nodiscard]] work_description describe(std::uint64_t number) const
+    {
+        const request_log& log = requests_.at(number);
+        work_description work;
+        work.request = request_id{number};
+        work.customer = customer_id{log.customer};
+        work.work_class = class_id{log.name};
+        work.prompt_tokens = prompt;
+        return work;
+    }
+    [[nodiscard]] load_report report_of(const endpoint_id& endpoint) const
+    {
+        load_report report;
+        report.endpoint = endpoint;
+        report.as_of = now_;
+        report.slots = slots;
+        report.memory_capacity = memory;
+        for (const std::uint64_t number : running_)
+        {
+            const request_log& log = requests_.at(number);
+            if (log.endpoint == endpoint)
+            {
+                ++report.running;
+                report.memory_used += prompt + log.tokens;
+            }
+        }
+        return report;
+    }
+    [[nodiscard]] bool holds_permit(const request_log& log) const
+    {
+        return !log.permits.empty() && !log.left && now_ < log.expires;
+    }
+    /// The scheduler has ended these permits, so that a request that asks again may get another one.
+    void end_permits_at(const endpoint_id& endpoint)
+    {
+        for (auto& [number, log] : requests_)
+        {
+            if (log.endpoint == endpoint)
+            {
+                log.expires = now_;
+            }
+        }
+    }
+    void take_grant(const permit_grant& grant)
+    {
+        request_log& log = requests_[grant.request.value()];
+        const bool repeated = !log.permits.empty() && log.permits.back() == grant.permit;
+        if (repeated)
+        {
+            return;
+        }
+        contradiction_ = contradiction_ || holds_permit(log) || log.denied || log.left;
+        grants_while_full_ += report_of(grant.endpoint).memory_used > memory ? 1 : 0;
+        log.permits.push_back(grant.permit);
+        log.endpoint = grant.endpoint;
+        log.expires = grant.expires;
+        running_.insert(grant.request.value());
+    }
+
+    pool_id pool_{"pool"};
+    instance_id self_{"self"};
+    scheduler_settings settings_;
+    length_estimator lengths_;
+    time_point now_ = at_ms(1'000'000);
+    std::vector<endpoint_id> endpoints_;
+    std::map<std::uint64_t, request_log> requests_;
+    std::set<std::uint64_t> running_;
+    std::map<error_kind, int> denials_;
+    std::int64_t steps_ = 0;
+    int grants_while_full_ = 0;
+    bool contradiction_ = false;
+    bool retry_missing_ = false;
+    pool_scheduler scheduler_;
+};
+
+} // namespace parsleyshift::test
