--- a/libs/quarantine/include/parsleyshift/quarantine/crash_quarantine.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/crash_quarantine.hpp
@@ -119,12 +119,13 @@
     using attempt_list = std::vector<attempt_id>;
 
     void erase_run(attempt_id attempt);
-    [[nodiscard]] const attempt_list* runs_at(const endpoint_id& endpoint) const;
-    [[nodiscard]] bool pending(const run& run, time_point now) const;
-    [[nodiscard]] std::size_t pending_breaks(fingerprint request, time_point now) const;
-    [[nodiscard]] bool runs_elsewhere(fingerprint request, time_point now) const;
-    [[nodiscard]] std::size_t marks(fingerprint request, time_point now) const;
-    [[nodiscard]] std::vector<fingerprint> running_at(const endpoint_id& endpoint, time_point now) const;
+    [[nodiscard]] bool counts(const run& known, time_point now) const;
+    [[nodiscard]] std::size_t runs_of(fingerprint request, time_point now) const;
+    [[nodiscard]] std::size_t broken_runs_of(fingerprint request, time_point now) const;
+    [[nodiscard]] bool suspect_runs_at(const endpoint_id& endpoint, time_point now) const;
+    [[nodiscard]] std::size_t deaths_of(fingerprint request, time_point now) const;
+    [[nodiscard]] std::size_t marks_of(fingerprint request, time_point now) const;
+    [[nodiscard]] std::vector<fingerprint> fingerprints_at(const endpoint_id& endpoint, time_point now) const;
     suspicion& suspicion_of(fingerprint request, time_point now);
     void make_room(time_point now);
 
--- a/libs/quarantine/include/parsleyshift/quarantine/suspicion.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/suspicion.hpp
@@ -20,7 +20,8 @@
     /// Most endpoints remembered for one fingerprint; it is convicted at two.
     static constexpr std::size_t most_endpoints = 8;
 
-    /// @brief Adds an observed death. O(endpoints). @return true when it changed something
+    /// @brief Adds an observed death. O(endpoints). Beyond most_endpoints the oldest is dropped.
+    /// @return true when it changed something
     bool mark(const endpoint_id& endpoint, const death_times& times);
     /// @brief Clears all deaths up to a time. O(endpoints). @return true when it changed something
     bool clear_until(time_point cleared);
--- a/libs/routing/include/parsleyshift/routing/endpoint_chooser.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_chooser.hpp
@@ -5,9 +5,9 @@
 #include <parsleyshift/routing/endpoint_directory.hpp> // endpoint_entry
 #include <parsleyshift/routing/in_flight_ledger.hpp>   // endpoint_load
 
-#include <algorithm> // find, max
+#include <algorithm> // max
 #include <array>     // array
-#include <cmath>     // ceil
+#include <cmath>     // abs
 #include <concepts>  // convertible_to
 #include <cstddef>   // size_t
 #include <cstdint>   // int64_t, uint64_t
@@ -106,8 +106,9 @@
 /// @brief Chooses the candidate with the lowest sum of scores.
 ///
 /// Leaving endpoints, excluded ones and those without the model are never chosen. A candidate whose weight is below 1
-/// takes part in a choice with the probability of its weight, which gives a recovering endpoint its share of traffic;
-/// when none takes part, the admissible one with the highest weight is chosen.
+/// takes part in a choice with the probability weight / candidates, so it gets at most its weight times an even share
+/// of the choices even when it is the least loaded; when none takes part, the admissible one with the highest weight is
+/// chosen.
 /// @tparam Score functors whose costs are added
 template <endpoint_score... Score>
 class basic_endpoint_chooser
@@ -149,6 +150,7 @@
                                                                         random_source& random) const
 {
     const double bound = detail::affinity_bound(candidates, query, policy_.affinity_load);
+    const double even_share = 1.0 / static_cast<double>(std::max<std::size_t>(1, candidates.size()));
     std::optional<endpoint_choice> best;
     std::optional<endpoint_choice> fallback;
     double lowest = std::numeric_limits<double>::infinity();
@@ -167,7 +169,7 @@
             highest_weight = candidate.weight;
             fallback = choice;
         }
-        if (candidate.weight < 1.0 && random.fraction() >= candidate.weight)
+        if (candidate.weight < 1.0 && random.fraction() >= candidate.weight * even_share)
         {
             continue;
         }
--- a/libs/routing/include/parsleyshift/routing/endpoint_directory.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_directory.hpp
@@ -6,6 +6,7 @@
 #include <parsleyshift/messages/event.hpp>    // instances_listed
 
 #include <cstddef>       // size_t
+#include <cstdint>       // uint64_t
 #include <optional>      // optional
 #include <string>        // string
 #include <unordered_map> // unordered_map
@@ -55,10 +56,19 @@
 class endpoint_directory
 {
   public:
+    endpoint_directory() = default;
+    // Pools point to their entries.
+    endpoint_directory(const endpoint_directory&) = delete;
+    endpoint_directory& operator=(const endpoint_directory&) = delete;
+    endpoint_directory(endpoint_directory&&) = default;
+    endpoint_directory& operator=(endpoint_directory&&) = default;
+    ~endpoint_directory() = default;
+
     /// @brief Takes a reading of the platform's list. A reading older than the last one, or one without any row (the
     /// reader itself would be missing), changes nothing. O(rows).
     directory_change handle_list(const instances_listed& list);
-    /// @brief Takes a load report; reports of unknown endpoints and reports older than the last are dropped. O(1).
+    /// @brief Takes a load report; a report of an unknown endpoint is dropped, one that a newer report
+    /// has overtaken only counts as a sign of leaving. O(1).
     /// @return true when the report is the first sign that the endpoint leaves
     bool handle_load(const load_report& report, time_point now);
     /// @brief A load report could not be read. O(1).
--- a/libs/routing/include/parsleyshift/routing/endpoint_health.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_health.hpp
@@ -16,12 +16,14 @@
 /// @brief Bounds of outlier detection.
 struct health_policy
 {
-    /// Samples lose half of their weight in this time; slowness shows within about twice of it.
-    duration half_life{500};
+    /// Token gaps lose half of their weight in this time; slowness shows within about twice of it.
+    duration gap_half_life{500};
+    /// The same for first-token times and answers, which are rarer.
+    duration first_half_life{5'000};
     /// Time between two evaluations.
     duration interval{100};
     /// Decayed samples below which an endpoint is not judged by its speed.
-    double least_samples = 3;
+    double least_samples = 2.5;
     /// An endpoint is an outlier when it is slower than the pool's median by this factor and by
     /// `deviations` robust standard deviations.
     double slow_gap = 2.0;
@@ -37,9 +39,10 @@
     duration ejection{2'000};
     duration longest_ejection{30'000};
     duration forgive{60'000};
-    /// After the ejection: little traffic until `probe_samples` of it were good, then a linear rise to full weight.
+    /// After the ejection: little traffic until `probe_samples` of it are known; when most were good, a linear rise to
+    /// full weight follows, otherwise the next ejection.
     double probe_weight = 0.05;
-    double probe_samples = 3;
+    int probe_samples = 3;
     duration slow_start{10'000};
 };
 
@@ -83,6 +86,13 @@
   public:
     explicit endpoint_health(const health_policy& policy = {});
 
+    // Pools point to their members.
+    endpoint_health(const endpoint_health&) = delete;
+    endpoint_health& operator=(const endpoint_health&) = delete;
+    endpoint_health(endpoint_health&&) = default;
+    endpoint_health& operator=(endpoint_health&&) = default;
+    ~endpoint_health() = default;
+
     /// @brief Adds an endpoint to its pool; the ceiling on ejections counts the pool's members. O(1) on average.
     void add(const endpoint_id& endpoint, const pool_id& pool);
     /// @brief Removes an endpoint. O(pool).
@@ -94,14 +104,16 @@
     /// @brief Time from the start of an attempt to its first token or to a call's answer. O(1) on average.
     void first_token(const endpoint_id& endpoint, duration taken, time_point now);
     /// @brief A stream has been silent for `open_gap` and still is; counts when that is longer than the endpoint's
-    /// mean, so that an endpoint that has stopped is detected before its next token. O(1) on average.
+    /// mean, so that an endpoint that has stopped is detected before its next token. To be called about once per
+    /// `interval` and stream, and not for a stream that this instance has paused. O(1) on average.
     void silent(const endpoint_id& endpoint, duration open_gap, time_point now);
     /// @brief An attempt failed through the endpoint's fault. O(1) on average.
     void failed(const endpoint_id& endpoint, time_point now);
     /// @brief An attempt made progress; ends a row of failures. O(1) on average.
     void succeeded(const endpoint_id& endpoint);
 
-    /// @brief Judges all pools; call it when next_evaluation() has come. O(endpoints with recent samples or states).
+    /// @brief Judges all pools; call it when next_evaluation() has come. O(endpoints of the pools that have recent
+    /// samples or an endpoint that is not healthy).
     std::vector<health_change> evaluate(time_point now);
     /// @brief When evaluate() is due; never when there is nothing to judge.
     [[nodiscard]] time_point next_evaluation() const noexcept;
@@ -121,30 +133,43 @@
         health_state state = health_state::healthy;
         /// Ejected: end of the ejection. Recovering: begin of the rise.
         time_point since;
-        time_point last_ejected;
+        time_point last_ejected = time_point::min();
         duration ejection{};
-        /// Good samples while probing.
-        double good = 0;
-        /// Weight by speed while healthy.
+        /// Samples seen while probing, and how many of them were as slow as an outlier's.
+        int probes = 0;
+        int slow_probes = 0;
         double speed_weight = 1.0;
+        /// Speed relative to the median of the pool, of the signal that is worse.
         double slowness = 1.0;
         bool outlier = false;
     };
+    /// Median of a signal in a pool, as a binary logarithm; 0 until it is known.
+    struct signal_reference
+    {
+        double gap = 0;
+        double first = 0;
+    };
     struct pool_state
     {
-        std::vector<endpoint_id> members;
-        bool dirty = false;
+        std::vector<patient*> members;
+        signal_reference reference;
+        /// Samples may still count until then.
+        time_point active_until = time_point::min();
     };
+    struct signal;
 
     patient* find(const endpoint_id& endpoint);
     void touch(const patient& seen, time_point now);
-    void judge_speed(pool_state& pool, time_point now);
-    void judge_signal(const std::vector<patient*>& members, decayed_mean patient::*signal, double slow, time_point now);
-    void eject_outliers(pool_state& pool, time_point now, std::vector<health_change>& changes);
-    void advance(patient& seen, time_point now, std::vector<health_change>& changes);
-    void eject(patient& seen, time_point now, std::vector<health_change>& changes);
+    void probe(patient& seen, double log_sample, double reference, double slow) const;
+    void judge_speed(pool_state& pool, time_point now) const;
+    void judge_signal(pool_state& pool, const signal& judged, time_point now) const;
+    void judge_member(patient& member, double log_ratio, double threshold) const;
+    void eject_outliers(pool_state& pool, time_point now, std::vector<health_change>& changes) const;
+    void advance(patient& seen, time_point now, std::vector<health_change>& changes) const;
+    void eject(patient& seen, time_point now, std::vector<health_change>& changes) const;
+    [[nodiscard]] bool out_of_service(const patient& member) const;
+    [[nodiscard]] bool should_eject(const patient& member) const;
     [[nodiscard]] std::size_t ceiling(std::size_t members) const;
-    std::vector<patient*> members_of(const pool_state& pool);
 
     health_policy policy_;
     std::unordered_map<endpoint_id, patient> patients_;
--- a/libs/routing/include/parsleyshift/routing/endpoint_scores.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_scores.hpp
@@ -41,16 +41,8 @@
     double operator()(const endpoint_candidate& candidate, const routing_query& query) const;
 };
 
-/// @brief Cost of a candidate that is slower than its pool without being ejected.
-struct health_score
-{
-    double ms_at_zero_weight = 500;
-
-    double operator()(const endpoint_candidate& candidate, const routing_query& query) const;
-};
-
 /// @brief The chooser of the product.
-using endpoint_chooser = basic_endpoint_chooser<load_score, prefix_score, link_score, health_score>;
+using endpoint_chooser = basic_endpoint_chooser<load_score, prefix_score, link_score>;
 /// @brief Baseline: least load only.
 using least_load_chooser = basic_endpoint_chooser<load_score>;
 /// @brief Baseline: random choice.
--- a/libs/routing/include/parsleyshift/routing/prefix_index.hpp
+++ b/libs/routing/include/parsleyshift/routing/prefix_index.hpp
@@ -46,17 +46,12 @@
     [[nodiscard]] double saved_tokens(const endpoint_id& endpoint, const std::vector<std::uint64_t>& prefixes) const;
 
   private:
-    enum class trust : std::uint32_t
-    {
-        expected,
-        confirmed,
-    };
     struct slot
     {
         std::uint64_t prefix = 0;
-        /// Counts gaps; 0 marks a free slot.
+        /// Number of the last gap before the prefix was learned; 0 marks a free slot.
         std::uint32_t epoch = 0;
-        trust how = trust::expected;
+        bool confirmed = false;
     };
     struct cache
     {
@@ -66,8 +61,10 @@
     };
 
     cache* cache_of(const endpoint_id& endpoint);
-    void learn(cache& known, std::uint64_t prefix, trust how) const;
-    [[nodiscard]] const slot* find(const cache& known, std::uint64_t prefix) const;
+    void learn(cache& known, std::uint64_t prefix, bool confirmed) const;
+    void take(cache& known, const cache_event& happened) const;
+    slot* find(cache& known, std::uint64_t prefix) const;
+    [[nodiscard]] std::size_t set_of(std::uint64_t prefix) const;
     [[nodiscard]] double share(const cache& known, const slot& found) const;
 
     prefix_policy policy_;
--- a/libs/routing/include/parsleyshift/routing/rotating_quantile.hpp
+++ b/libs/routing/include/parsleyshift/routing/rotating_quantile.hpp
@@ -5,6 +5,7 @@
 #include <boost/accumulators/accumulators.hpp>                 // accumulator_set
 #include <boost/accumulators/statistics/count.hpp>             // count
 #include <boost/accumulators/statistics/p_square_quantile.hpp> // p_square_quantile
+#include <boost/accumulators/statistics/stats.hpp>             // stats
 
 #include <cstddef>  // size_t
 #include <optional> // optional
--- /dev/null
+++ b/libs/routing/src/prefix_hashes.cpp
@@ -0,0 +1,34 @@
+#include <parsleyshift/routing/prefix_hashes.hpp> // prefix_hashes
+
+#include <parsleyshift/core/hash.hpp> // stable_hash
+
+#include <algorithm> // reverse
+
+namespace parsleyshift
+{
+
+std::vector<std::uint64_t> prefix_hashes(std::string_view prompt)
+{
+    std::vector<std::uint64_t> hashes;
+    for (const std::size_t length : prefix_lengths)
+    {
+        if (length > prompt.size())
+        {
+            break;
+        }
+        hashes.push_back(stable_hash(prompt.substr(0, length)));
+    }
+    std::reverse(hashes.begin(), hashes.end());
+    return hashes;
+}
+
+std::int64_t prefix_tokens(std::size_t index, std::size_t count)
+{
+    if (index >= count || count > prefix_lengths.size())
+    {
+        return 0;
+    }
+    return static_cast<std::int64_t>(prefix_lengths[count - 1 - index]) / bytes_per_token;
+}
+
+} // namespace parsleyshift
--- /dev/null
+++ b/libs/routing/src/retry_budget.cpp
@@ -0,0 +1,32 @@
+#include <parsleyshift/routing/retry_budget.hpp> // retry_budget
+
+#include <algorithm> // min
+
+namespace parsleyshift
+{
+
+retry_budget::retry_budget(const retry_budget_policy& policy) : policy_(policy), available_(policy.floor) {}
+
+void retry_budget::succeeded()
+{
+    available_ = std::min(policy_.floor, available_ + policy_.share);
+}
+
+bool retry_budget::try_spend()
+{
+    // Ten successes at a share of a tenth add up to slightly less than one in binary fractions.
+    constexpr double rounding = 1e-9;
+    if (available_ + rounding < 1.0)
+    {
+        return false;
+    }
+    available_ -= 1.0;
+    return true;
+}
+
+double retry_budget::available() const noexcept
+{
+    return available_;
+}
+
+} // namespace parsleyshift
