--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -232,15 +232,6 @@
     std::int64_t tokens = 0;
 };
 
-/// When the death of one endpoint was observed, at the earliest and at the latest, over all observers.
-struct death_times
-{
-    time_point first;
-    time_point last;
-
-    friend bool operator==(const death_times&, const death_times&) = default;
-};
-
 /// Endpoint deaths that one request fingerprint is held responsible for.
 struct quarantine_notice
 {
@@ -248,8 +239,8 @@
     /// Endpoints that died while running it.
     std::vector<endpoint_id> deaths;
     time_point expires;
-    /// Times of `deaths`, in the same order; tells two observations of one death from two deaths after a restart.
-    std::vector<death_times> times;
+    /// Times of `deaths`, in the same order; an endpoint that died again after a restart is named twice.
+    std::vector<time_point> times;
     /// Deaths up to this time do not count, because the request has completed elsewhere since.
     time_point cleared;
 };
--- a/libs/quarantine/include/parsleyshift/quarantine/crash_quarantine.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/crash_quarantine.hpp
@@ -19,8 +19,9 @@
 {
     /// Time for which a death counts against a fingerprint.
     duration keep{600'000};
-    /// Observations of deaths of one endpoint within this time are the same death; a restart takes longer.
-    duration same_death{5'000};
+    /// Steps in which times of death are kept; observations of one endpoint in the same or in adjacent steps are one
+    /// death, since instances see a broken link within a few hundred milliseconds of each other.
+    duration same_death{1'000};
     /// Time after a broken run in which the endpoint may still be found dead.
     duration death_delay{10'000};
     /// Most fingerprints remembered; further ones displace suspects before convicts.
@@ -78,12 +79,14 @@
   public:
     explicit crash_quarantine(const quarantine_policy& policy = {});
 
-    /// @brief A run begins. O(1) on average. A known attempt is ignored.
+    /// @brief A run begins, or a broken one is resumed under the same attempt. O(1) on average.
     void started(attempt_id attempt, fingerprint request, const endpoint_id& endpoint);
     /// @brief A run ended. O(1) on average; an unknown attempt is ignored.
     /// @return the notice to spread when a completed run removed marks
     std::optional<quarantine_notice> ended(attempt_id attempt, run_end how, time_point now);
-    /// @brief An endpoint's process died. Not for endpoints that left as planned.
+    /// @brief An endpoint's process died: its connections were reset and new ones are refused, or the list shows it
+    /// gone. Silence alone is no proof, and an endpoint that left as planned has not died. Must be called within
+    /// `death_delay` of the broken runs.
     /// @return notices to spread; one per fingerprint that was running, O(their number)
     std::vector<quarantine_notice> endpoint_died(const endpoint_id& endpoint, time_point now);
     /// @brief An endpoint proved that it has not died: broken runs on it leave no mark. O(runs there).
@@ -125,7 +128,8 @@
     [[nodiscard]] bool suspect_runs_at(const endpoint_id& endpoint, time_point now) const;
     [[nodiscard]] std::size_t deaths_of(fingerprint request, time_point now) const;
     [[nodiscard]] std::size_t marks_of(fingerprint request, time_point now) const;
-    [[nodiscard]] std::vector<fingerprint> fingerprints_at(const endpoint_id& endpoint, time_point now) const;
+    [[nodiscard]] std::vector<run> runs_at(const endpoint_id& endpoint, time_point now) const;
+    [[nodiscard]] time_point step_of(time_point when) const;
     suspicion& suspicion_of(fingerprint request, time_point now);
     void make_room(time_point now);
 
--- a/libs/quarantine/include/parsleyshift/quarantine/suspicion.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/suspicion.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <parsleyshift/core/clock.hpp>    // duration, time_point
-#include <parsleyshift/core/ids.hpp>      // endpoint_id
-#include <parsleyshift/messages/peer.hpp> // death_times, quarantine_notice
+#include <parsleyshift/core/ids.hpp>      // endpoint_id, fingerprint
+#include <parsleyshift/messages/peer.hpp> // quarantine_notice
 
+#include <compare> // strong_ordering
 #include <cstddef> // size_t
 #include <vector>  // vector
 
@@ -12,22 +13,24 @@
 
 /// @brief Deaths that one fingerprint is held responsible for; a join semilattice.
 ///
-/// Per endpoint the earliest and the latest observation are kept, and one time up to which deaths are cleared. Merging
-/// takes the minimum, the maximum and the maximum, so it commutes, associates and is idempotent.
+/// The state is a set of observations (time, endpoint), of which the latest are kept, and one time up to which they are
+/// cleared. Merging takes the union and the later time, so it commutes, associates and is idempotent.
 class suspicion
 {
   public:
-    /// Most endpoints remembered for one fingerprint; it is convicted at two.
-    static constexpr std::size_t most_endpoints = 8;
+    /// Most observations kept. One death gives at most two when times are rounded down to steps, so these are at least
+    /// four deaths; two convict.
+    static constexpr std::size_t most_observations = 8;
 
-    /// @brief Adds an observed death. O(endpoints). Beyond most_endpoints the oldest is dropped.
+    /// @brief Adds an observed death. O(observations). @param when rounded down to a step
     /// @return true when it changed something
-    bool mark(const endpoint_id& endpoint, const death_times& times);
-    /// @brief Clears all deaths up to a time. O(endpoints). @return true when it changed something
+    bool mark(const endpoint_id& endpoint, time_point when);
+    /// @brief Clears all deaths up to a time. O(observations). @return true when it changed something
     bool clear_until(time_point cleared);
 
-    /// @brief Distinct deaths that count: observations of one endpoint further apart than `same_death` are two.
-    [[nodiscard]] std::size_t deaths(duration same_death, duration keep, time_point now) const;
+    /// @brief Distinct deaths within the last `keep`; observations of one endpoint in adjacent steps are one death.
+    /// O(observations squared), at most 64.
+    [[nodiscard]] std::size_t deaths(duration step, duration keep, time_point now) const;
     /// @brief Time of the latest death that is not cleared; the epoch when there is none.
     [[nodiscard]] time_point latest() const noexcept;
     /// @brief Time up to which deaths are cleared.
@@ -38,19 +41,16 @@
     friend bool operator==(const suspicion&, const suspicion&) = default;
 
   private:
-    struct death
+    struct observation
     {
+        time_point when;
         endpoint_id endpoint;
-        death_times times;
 
-        friend bool operator==(const death&, const death&) = default;
+        friend auto operator<=>(const observation&, const observation&) = default;
     };
 
-    void drop_cleared();
-    void drop_oldest();
-
-    /// Sorted by endpoint.
-    std::vector<death> deaths_;
+    /// In ascending order.
+    std::vector<observation> observations_;
     time_point cleared_;
 };
 
--- a/libs/quarantine/src/crash_quarantine.cpp
+++ b/libs/quarantine/src/crash_quarantine.cpp
@@ -10,14 +10,10 @@
 
 constexpr std::size_t deaths_to_convict = 2;
 
-/// Times of a death in a notice; a peer that sends no times knows the death from its expiry only.
-death_times times_of(const quarantine_notice& notice, std::size_t index, duration keep)
+/// Time of a death in a notice; a peer that sends no times knows the death from its expiry only.
+time_point time_of(const quarantine_notice& notice, std::size_t index, duration keep)
 {
-    if (index < notice.times.size())
-    {
-        return notice.times[index];
-    }
-    return {notice.expires - keep, notice.expires - keep};
+    return index < notice.times.size() ? notice.times[index] : notice.expires - keep;
 }
 
 } // namespace
@@ -26,8 +22,10 @@
 
 void crash_quarantine::started(attempt_id attempt, fingerprint request, const endpoint_id& endpoint)
 {
-    if (!runs_.try_emplace(attempt, run{request, endpoint, std::nullopt}).second)
+    const auto [known, added] = runs_.try_emplace(attempt, run{request, endpoint, std::nullopt});
+    if (!added)
     {
+        known->second.broke = std::nullopt;
         return;
     }
     by_endpoint_[endpoint].push_back(attempt);
@@ -109,9 +107,9 @@
                                                   }));
 }
 
-std::vector<fingerprint> crash_quarantine::fingerprints_at(const endpoint_id& endpoint, time_point now) const
+std::vector<crash_quarantine::run> crash_quarantine::runs_at(const endpoint_id& endpoint, time_point now) const
 {
-    std::vector<fingerprint> found;
+    std::vector<run> found;
     const auto known = by_endpoint_.find(endpoint);
     if (known == by_endpoint_.end())
     {
@@ -122,22 +120,36 @@
         const run& one = runs_.at(attempt);
         if (counts(one, now))
         {
-            found.push_back(one.request);
+            found.push_back(one);
         }
     }
-    std::sort(found.begin(), found.end());
-    found.erase(std::unique(found.begin(), found.end()), found.end());
     return found;
 }
 
+time_point crash_quarantine::step_of(time_point when) const
+{
+    const duration since_epoch = when.time_since_epoch();
+    return when - since_epoch % policy_.same_death;
+}
+
 std::vector<quarantine_notice> crash_quarantine::endpoint_died(const endpoint_id& endpoint, time_point now)
 {
+    std::vector<fingerprint> marked;
+    for (const run& one : runs_at(endpoint, now))
+    {
+        // The link breaks with the death; `now` is when the death is known, which differs between instances.
+        suspicion_of(one.request, now).mark(endpoint, step_of(one.broke.value_or(now)));
+        marked.push_back(one.request);
+    }
+    std::sort(marked.begin(), marked.end());
+    marked.erase(std::unique(marked.begin(), marked.end()), marked.end());
     std::vector<quarantine_notice> notices;
-    for (const fingerprint request : fingerprints_at(endpoint, now))
+    for (const fingerprint request : marked)
     {
-        suspicion& suspected = suspicion_of(request, now);
-        suspected.mark(endpoint, {now, now});
-        notices.push_back(suspected.to_notice(request, policy_.keep));
+        if (const std::optional<quarantine_notice> notice = notice_of(request))
+        {
+            notices.push_back(*notice);
+        }
     }
     const auto known = by_endpoint_.find(endpoint);
     const attempt_list dead = known == by_endpoint_.end() ? attempt_list{} : known->second;
@@ -207,7 +219,8 @@
     bool changed = suspected.clear_until(notice.cleared);
     for (std::size_t index = 0; index < notice.deaths.size(); ++index)
     {
-        changed = suspected.mark(notice.deaths[index], times_of(notice, index, policy_.keep)) || changed;
+        const time_point when = step_of(time_of(notice, index, policy_.keep));
+        changed = suspected.mark(notice.deaths[index], when) || changed;
     }
     return changed;
 }
@@ -239,9 +252,9 @@
 
 bool crash_quarantine::suspect_runs_at(const endpoint_id& endpoint, time_point now) const
 {
-    const std::vector<fingerprint> there = fingerprints_at(endpoint, now);
+    const std::vector<run> there = runs_at(endpoint, now);
     return std::any_of(there.begin(), there.end(),
-                       [&](fingerprint request) { return verdict(request, now) != run_verdict::clear; });
+                       [&](const run& one) { return verdict(one.request, now) != run_verdict::clear; });
 }
 
 bool crash_quarantine::may_run(fingerprint request, const endpoint_id& endpoint, time_point now) const
--- a/libs/quarantine/src/suspicion.cpp
+++ b/libs/quarantine/src/suspicion.cpp
@@ -1,30 +1,26 @@
 #include <parsleyshift/quarantine/suspicion.hpp> // suspicion
 
-#include <algorithm> // lower_bound, max, min, min_element
+#include <algorithm> // any_of, lower_bound, max
 
 namespace parsleyshift
 {
 
-bool suspicion::mark(const endpoint_id& endpoint, const death_times& times)
+bool suspicion::mark(const endpoint_id& endpoint, time_point when)
 {
-    if (times.last <= cleared_)
+    const observation added{when, endpoint};
+    const auto place = std::lower_bound(observations_.begin(), observations_.end(), added);
+    const bool known = place != observations_.end() && *place == added;
+    const bool too_old = observations_.size() >= most_observations && place == observations_.begin();
+    if (known || too_old || when <= cleared_)
     {
         return false;
     }
-    const auto place =
-        std::lower_bound(deaths_.begin(), deaths_.end(), endpoint,
-                         [](const death& left, const endpoint_id& right) { return left.endpoint < right; });
-    if (place == deaths_.end() || place->endpoint != endpoint)
+    observations_.insert(place, added);
+    if (observations_.size() > most_observations)
     {
-        const suspicion before = *this;
-        deaths_.insert(place, {endpoint, times});
-        drop_oldest();
-        return !(*this == before);
+        observations_.erase(observations_.begin());
     }
-    const death_times merged{std::min(place->times.first, times.first), std::max(place->times.last, times.last)};
-    const bool changed = !(merged == place->times);
-    place->times = merged;
-    return changed;
+    return true;
 }
 
 bool suspicion::clear_until(time_point cleared)
@@ -34,51 +30,31 @@
         return false;
     }
     cleared_ = cleared;
-    drop_cleared();
+    std::erase_if(observations_, [this](const observation& known) { return known.when <= cleared_; });
     return true;
 }
 
-void suspicion::drop_cleared()
-{
-    std::erase_if(deaths_, [this](const death& known) { return known.times.last <= cleared_; });
-}
-
-void suspicion::drop_oldest()
-{
-    if (deaths_.size() <= most_endpoints)
-    {
-        return;
-    }
-    deaths_.erase(std::min_element(deaths_.begin(), deaths_.end(),
-                                   [](const death& left, const death& right)
-                                   { return left.times.last < right.times.last; }));
-}
-
-std::size_t suspicion::deaths(duration same_death, duration keep, time_point now) const
+std::size_t suspicion::deaths(duration step, duration keep, time_point now) const
 {
     std::size_t count = 0;
-    for (const death& known : deaths_)
+    for (const observation& known : observations_)
     {
-        if (known.times.last + keep <= now)
+        const bool seen_before = std::any_of(observations_.begin(), observations_.end(),
+                                             [&](const observation& earlier) {
+                                                 return earlier.endpoint == known.endpoint &&
+                                                        earlier.when < known.when && known.when - earlier.when <= step;
+                                             });
+        if (known.when + keep > now && !seen_before)
         {
-            continue;
+            ++count;
         }
-        const time_point earliest = std::max(known.times.first, cleared_);
-        const bool first_counts = known.times.first > cleared_ && known.times.first + keep > now;
-        const bool two = first_counts && known.times.last - earliest > same_death;
-        count += two ? 2 : 1;
     }
     return count;
 }
 
 time_point suspicion::latest() const noexcept
 {
-    time_point latest;
-    for (const death& known : deaths_)
-    {
-        latest = std::max(latest, known.times.last);
-    }
-    return latest;
+    return observations_.empty() ? time_point{} : observations_.back().when;
 }
 
 time_point suspicion::cleared() const noexcept
@@ -90,10 +66,10 @@
 {
     quarantine_notice notice;
     notice.request = request;
-    for (const death& known : deaths_)
+    for (const observation& known : observations_)
     {
         notice.deaths.push_back(known.endpoint);
-        notice.times.push_back(known.times);
+        notice.times.push_back(known.when);
     }
     notice.expires = std::max(latest(), cleared_) + keep;
     notice.cleared = cleared_;
