--- a/libs/quarantine/include/parsleyshift/quarantine/suspicion.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/suspicion.hpp
@@ -28,8 +28,8 @@
     /// @brief Clears all deaths up to a time. O(observations). @return true when it changed something
     bool clear_until(time_point cleared);
 
-    /// @brief Distinct deaths within the last `keep`; observations of one endpoint in adjacent steps are one death.
-    /// O(observations squared), at most 64.
+    /// @brief Distinct deaths within `keep` before the latest one, until `keep` after it; observations of one endpoint
+    /// in adjacent steps are one death. O(observations squared), at most 64.
     [[nodiscard]] std::size_t deaths(duration step, duration keep, time_point now) const;
     /// @brief Time of the latest death that is not cleared; the epoch when there is none.
     [[nodiscard]] time_point latest() const noexcept;
--- a/libs/quarantine/src/suspicion.cpp
+++ b/libs/quarantine/src/suspicion.cpp
@@ -36,6 +36,10 @@
 
 std::size_t suspicion::deaths(duration step, duration keep, time_point now) const
 {
+    if (latest() + keep <= now)
+    {
+        return 0;
+    }
     std::size_t count = 0;
     for (const observation& known : observations_)
     {
@@ -44,7 +48,7 @@
                                                  return earlier.endpoint == known.endpoint &&
                                                         earlier.when < known.when && known.when - earlier.when <= step;
                                              });
-        if (known.when + keep > now && !seen_before)
+        if (latest() - known.when < keep && !seen_before)
         {
             ++count;
         }
