Add the membership library

SWIM-style probing with suspicion, refutation, private blames while the own links are in doubt, and reminders that repair views.

--- a/libs/configuration/include/parsleyshift/configuration/configuration_store.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/configuration_store.hpp
@@ -23,8 +23,7 @@
 
     /// @brief Takes the membership view; to be called after each change of a member. Linear in the members.
     /// @param joined false while the view is not complete yet (membership::joined())
-    void update_members(std::span<const member_update> members, bool joined, time_point now,
-                        configuration_output& out);
+    void update_members(std::span<const member_update> members, bool joined, time_point now, configuration_output& out);
     void handle(const configuration_received& answer, time_point now, configuration_output& out);
     void handle(const configuration_unavailable& answer, time_point now, configuration_output& out);
     /// @brief Handles digests, pulls and records, and takes the revision floor from every other message.
--- a/libs/configuration/include/parsleyshift/configuration/record_acceptor.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/record_acceptor.hpp
@@ -38,8 +38,11 @@
 /// @brief Checks a record. The result must depend on the record only, so that all instances come to the same one;
 /// processes that read fewer schema versions answer `unreadable` instead. Withdrawals are not passed to it.
 template <class T>
-concept record_acceptor = requires(const T& acceptor, const raw_record& record) {
-    { acceptor(record) } -> std::same_as<record_judgement>;
+concept record_acceptor = requires(const T& acceptor, const raw_record& record)
+{
+    {
+        acceptor(record)
+        } -> std::same_as<record_judgement>;
 };
 
 } // namespace parsleyshift
--- a/libs/membership/include/parsleyshift/membership/membership.hpp
+++ b/libs/membership/include/parsleyshift/membership/membership.hpp
@@ -1,16 +1,18 @@
 #pragma once
 
-#include <parsleyshift/core/clock.hpp>             // time_point
-#include <parsleyshift/core/random_source.hpp>     // random_source
+#include <parsleyshift/core/clock.hpp>              // time_point
+#include <parsleyshift/core/random_source.hpp>      // random_source
 #include <parsleyshift/membership/member_table.hpp> // member_table
-#include <parsleyshift/membership/output.hpp>      // membership_output
-#include <parsleyshift/membership/settings.hpp>    // membership_settings
+#include <parsleyshift/membership/output.hpp>       // membership_output
+#include <parsleyshift/membership/probe_order.hpp>  // probe_order
+#include <parsleyshift/membership/settings.hpp>     // membership_settings
 #include <parsleyshift/membership/update_queue.hpp> // update_queue
-#include <parsleyshift/messages/peer.hpp>          // member_update, peer_envelope
-#include <parsleyshift/messages/platform.hpp>      // listed_instance
+#include <parsleyshift/messages/peer.hpp>           // member_update, peer_envelope
+#include <parsleyshift/messages/platform.hpp>       // listed_instance
 
 #include <cstddef>  // size_t
 #include <cstdint>  // uint64_t
+#include <deque>    // deque
 #include <optional> // optional
 #include <span>     // span
 #include <string>   // string
@@ -93,6 +95,118 @@
     [[nodiscard]] int health_score() const;
 
     [[nodiscard]] const membership_traffic& traffic() const;
+
+    /// @brief Time from a suspicion to the eviction, at the present size and health score.
+    [[nodiscard]] duration suspicion_timeout() const;
+
+  private:
+    struct direct_probe
+    {
+        std::uint64_t sequence = 0;
+        instance_id target;
+        std::string address;
+        /// When the indirect probes are sent; never once they are.
+        time_point indirect_at = never;
+    };
+    struct relayed_probe
+    {
+        std::uint64_t sequence = 0;
+        instance_id origin;
+        std::string origin_address;
+        std::uint64_t origin_sequence = 0;
+    };
+    struct suspicion
+    {
+        instance_id instance;
+        incarnation started;
+        std::uint32_t refutation = 0;
+        time_point since;
+    };
+    /// A state that this instance gave a member while its own links were in doubt, and told nobody.
+    struct private_blame
+    {
+        instance_id instance;
+        incarnation started;
+        std::uint32_t refutation = 0;
+        member_state former = member_state::alive;
+    };
+    struct join_candidate
+    {
+        instance_id instance;
+        std::string address;
+        bool own_region = false;
+    };
+
+    // Time and health.
+    void advance(time_point now);
+    void resume_after_pause(time_point now);
+    void restart_suspicions(time_point now);
+    void note_answer(time_point now, membership_output& out);
+    void take_back_blames(time_point now, membership_output& out);
+    /// True while the own links are the likelier fault: blames are then kept private.
+    [[nodiscard]] bool doubts_itself() const;
+    void expire_suspicions(time_point now, membership_output& out);
+
+    // Probing.
+    void run_probe(time_point now, membership_output& out);
+    void send_indirect_probes(membership_output& out);
+    void fail_probe(time_point now, membership_output& out);
+    void reconnect(time_point now, membership_output& out);
+    std::optional<instance_id> next_target();
+    std::optional<instance_id> next_of(probe_order& order, bool own_region);
+    void receive(const peer_envelope& envelope, const probe& message, membership_output& out);
+    void receive(const peer_envelope& envelope, const probe_ack& message, time_point now, membership_output& out);
+    void receive(const peer_envelope& envelope, const probe_request& message, membership_output& out);
+
+    // Joining.
+    void ask_for_view(time_point now, membership_output& out);
+    void receive(const peer_envelope& envelope, const member_updates& message, time_point now, membership_output& out);
+    void answer_view(const peer_envelope& envelope, time_point now, membership_output& out);
+
+    // Spreading.
+    void apply(const std::vector<member_update>& updates, time_point now, membership_output& out);
+    void apply(const member_update& update, bool spread, time_point now, membership_output& out);
+    void apply_to_self(const member_update& update);
+    void note_change(const member_update& update, member_state before, time_point now, membership_output& out);
+    void blame(const instance_id& instance, member_state state, time_point now, membership_output& out);
+    void announce_busy(time_point now);
+    void send_leaves(time_point now, membership_output& out);
+    std::vector<instance_id> announcement_targets(std::size_t per_other_region);
+    std::vector<member_update> piggyback(const instance_id& receiver);
+    void add_reminders(std::vector<member_update>& updates);
+    void send(const instance_id& to, const std::string& address, peer_message message, membership_output& out);
+
+    membership_settings settings_;
+    random_source random_;
+    member_update self_;
+    member_table table_;
+    update_queue queue_;
+    probe_order own_region_order_;
+    probe_order remote_order_;
+    std::optional<direct_probe> outstanding_;
+    std::vector<relayed_probe> relayed_;
+    /// Ordered by time.
+    std::deque<suspicion> suspicions_;
+    std::vector<private_blame> private_blames_;
+    std::vector<join_candidate> join_candidates_;
+    std::vector<instance_id> leaves_;
+    std::optional<time_point> first_call_;
+    time_point next_probe_;
+    time_point next_reconnect_;
+    time_point next_join_ = never;
+    time_point send_leaves_at_ = never;
+    time_point last_leaves_;
+    time_point next_resynchronization_;
+    time_point view_answers_since_;
+    time_point last_busy_;
+    int view_answers_ = 0;
+    int busy_percent_ = 0;
+    int health_score_ = 0;
+    std::uint64_t next_sequence_ = 1;
+    bool joined_ = false;
+    bool view_received_ = false;
+    bool superseded_ = false;
+    membership_traffic traffic_;
 };
 
 } // namespace parsleyshift
--- /dev/null
+++ b/libs/membership/src/membership.cpp
@@ -0,0 +1,335 @@
+#include <parsleyshift/membership/membership.hpp>
+
+#include <algorithm> // max, min
+#include <cmath>     // log10
+#include <cstdlib>   // abs
+#include <utility>   // move
+#include <variant>   // get_if
+
+namespace parsleyshift
+{
+
+membership::membership(member_update self, membership_settings settings, std::uint64_t seed)
+    : settings_(settings),
+      random_(seed),
+      self_(std::move(self)),
+      table_(self_, settings.highest_members),
+      busy_percent_(self_.busy_percent)
+{
+    queue_.add(self_.instance, urgency::state);
+}
+
+void membership::handle_list(const std::vector<listed_instance>& list, time_point now, membership_output& out)
+{
+    advance(now);
+    join_candidates_.clear();
+    std::vector<const listed_instance*> unknown;
+    for (const listed_instance& listed : list)
+    {
+        const instance_id instance{listed.id};
+        const bool peer = listed.role == instance_role::entry && !listed.peer_address.empty();
+        if (!peer || instance == self_.instance || listed.leaving)
+        {
+            continue;
+        }
+        join_candidates_.push_back({instance, listed.peer_address, listed.region == self_.region});
+        const member_update* known = table_.find(instance);
+        if (known == nullptr)
+        {
+            unknown.push_back(&listed);
+        }
+    }
+    if (join_candidates_.empty())
+    {
+        joined_ = true;
+        return;
+    }
+    if (!view_received_)
+    {
+        if (next_join_ == never)
+        {
+            ask_for_view(now, out);
+        }
+        return;
+    }
+    for (std::size_t contacted = 0; contacted < settings_.join_peers && !unknown.empty(); ++contacted)
+    {
+        const std::size_t chosen = random_.index(unknown.size());
+        const instance_id instance{unknown[chosen]->id};
+        send(instance, unknown[chosen]->peer_address, probe{next_sequence_++, piggyback(instance)}, out);
+        unknown.erase(unknown.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+}
+
+void membership::handle(const peer_envelope& envelope, time_point now, membership_output& out)
+{
+    advance(now);
+    if (envelope.sender == self_.instance)
+    {
+        superseded_ = superseded_ || envelope.started > self_.started;
+        return;
+    }
+    const member_update* known = table_.find(envelope.sender);
+    if (known != nullptr && known->started > envelope.started)
+    {
+        // A process that was replaced while it was paused learns of its successor.
+        send(envelope.sender, envelope.peer_address, member_updates{{*known}, false}, out);
+        return;
+    }
+    if (const auto* direct = std::get_if<probe>(&envelope.message))
+    {
+        apply(direct->updates, now, out);
+        receive(envelope, *direct, out);
+    }
+    else if (const auto* answer = std::get_if<probe_ack>(&envelope.message))
+    {
+        apply(answer->updates, now, out);
+        receive(envelope, *answer, now, out);
+    }
+    else if (const auto* request = std::get_if<probe_request>(&envelope.message))
+    {
+        receive(envelope, *request, out);
+    }
+    else if (const auto* updates = std::get_if<member_updates>(&envelope.message))
+    {
+        apply(updates->updates, now, out);
+        receive(envelope, *updates, now, out);
+    }
+    send_leaves(now, out);
+}
+
+void membership::expire(time_point now, membership_output& out)
+{
+    advance(now);
+    if (now >= next_join_)
+    {
+        ask_for_view(now, out);
+    }
+    if (outstanding_ && now >= outstanding_->indirect_at)
+    {
+        send_indirect_probes(out);
+    }
+    if (now >= next_probe_)
+    {
+        run_probe(now, out);
+    }
+    if (now >= next_reconnect_)
+    {
+        reconnect(now, out);
+    }
+    if (now >= *first_call_ + settings_.join_patience)
+    {
+        joined_ = true;
+    }
+    expire_suspicions(now, out);
+    send_leaves(now, out);
+}
+
+time_point membership::next_deadline() const
+{
+    if (!first_call_)
+    {
+        return time_point{};
+    }
+    time_point earliest = std::min({next_probe_, next_reconnect_, next_join_, send_leaves_at_});
+    if (outstanding_)
+    {
+        earliest = std::min(earliest, outstanding_->indirect_at);
+    }
+    if (!joined_)
+    {
+        earliest = std::min(earliest, *first_call_ + settings_.join_patience);
+    }
+    if (!suspicions_.empty())
+    {
+        earliest = std::min(earliest, suspicions_.front().since + suspicion_timeout());
+    }
+    return earliest;
+}
+
+void membership::leave(time_point now, membership_output& out)
+{
+    advance(now);
+    if (self_.state == member_state::leaving)
+    {
+        return;
+    }
+    self_.state = member_state::leaving;
+    ++self_.refutation;
+    table_.set_self(self_);
+    queue_.add(self_.instance, urgency::state);
+    for (const instance_id& target : announcement_targets(2))
+    {
+        send(target, table_.find(target)->peer_address, member_updates{{self_}, false}, out);
+    }
+}
+
+void membership::set_busy(int percent)
+{
+    busy_percent_ = percent;
+}
+
+std::span<const member_update> membership::members() const
+{
+    return table_.all();
+}
+
+const member_update* membership::find(const instance_id& instance) const
+{
+    return table_.find(instance);
+}
+
+const member_update* membership::holder_of(int entry_slot) const
+{
+    return table_.holder_of(entry_slot);
+}
+
+std::size_t membership::live_count() const
+{
+    return table_.live_count();
+}
+
+int membership::lowest_schema() const
+{
+    return table_.lowest_schema();
+}
+
+const member_update& membership::self() const
+{
+    return self_;
+}
+
+bool membership::joined() const
+{
+    return joined_;
+}
+
+bool membership::superseded() const
+{
+    return superseded_;
+}
+
+int membership::health_score() const
+{
+    return health_score_;
+}
+
+const membership_traffic& membership::traffic() const
+{
+    return traffic_;
+}
+
+duration membership::suspicion_timeout() const
+{
+    const double size = std::max(1.0, std::log10(static_cast<double>(table_.live_count())));
+    const double interval = static_cast<double>(settings_.probe_interval.count());
+    const double timeout = settings_.suspicion_factor * size * interval * (1 + health_score_);
+    return duration{static_cast<duration::rep>(timeout)};
+}
+
+void membership::advance(time_point now)
+{
+    if (!first_call_)
+    {
+        first_call_ = now;
+        // Spreads the probes of processes that start together.
+        next_probe_ = now + random_.jittered(settings_.probe_interval / 2, 1.0);
+        next_reconnect_ = now + random_.jittered(settings_.reconnect_interval / 2, 1.0);
+        return;
+    }
+    // Only the probe timer shows a pause: it is never more than one interval ahead and never moves back.
+    if (now > next_probe_ + settings_.pause_threshold)
+    {
+        resume_after_pause(now);
+    }
+}
+
+void membership::resume_after_pause(time_point now)
+{
+    // Answers may wait unread in the sockets, so nobody may be blamed for the time of the pause.
+    outstanding_.reset();
+    relayed_.clear();
+    restart_suspicions(now);
+    health_score_ = std::min(settings_.highest_health_score, health_score_ + 1);
+    next_probe_ = now;
+    next_reconnect_ = std::max(next_reconnect_, now);
+    next_join_ = next_join_ == never ? never : std::max(next_join_, now);
+    send_leaves_at_ = send_leaves_at_ == never ? never : std::max(send_leaves_at_, now);
+    if (!joined_ && now > *first_call_ + settings_.join_patience)
+    {
+        joined_ = true;
+    }
+}
+
+void membership::restart_suspicions(time_point now)
+{
+    for (suspicion& suspected : suspicions_)
+    {
+        suspected.since = now;
+    }
+}
+
+void membership::note_answer(time_point now, membership_output& out)
+{
+    if (doubts_itself())
+    {
+        // This instance was cut off; the members that it suspects get the full time to answer.
+        restart_suspicions(now);
+    }
+    health_score_ = 0;
+    take_back_blames(now, out);
+}
+
+void membership::take_back_blames(time_point now, membership_output& out)
+{
+    for (const private_blame& blamed : private_blames_)
+    {
+        const member_update* member = table_.find(blamed.instance);
+        const bool same = member != nullptr && member->started == blamed.started &&
+                          member->refutation == blamed.refutation && member->state > blamed.former;
+        if (same)
+        {
+            const member_state before = member->state;
+            table_.take_back(blamed.instance, blamed.former, now);
+            note_change(*table_.find(blamed.instance), before, now, out);
+        }
+    }
+    private_blames_.clear();
+}
+
+bool membership::doubts_itself() const
+{
+    return health_score_ > 1;
+}
+
+void membership::expire_suspicions(time_point now, membership_output& out)
+{
+    while (!suspicions_.empty() && suspicions_.front().since + suspicion_timeout() <= now)
+    {
+        const suspicion expired = suspicions_.front();
+        suspicions_.pop_front();
+        const member_update* member = table_.find(expired.instance);
+        const bool same = member != nullptr && member->state == member_state::suspect &&
+                          member->started == expired.started && member->refutation == expired.refutation;
+        if (same)
+        {
+            blame(expired.instance, member_state::dead, now, out);
+        }
+    }
+}
+
+void membership::announce_busy(time_point now)
+{
+    const int change = std::abs(busy_percent_ - self_.busy_percent);
+    if (change < settings_.busy_step || now < last_busy_ + settings_.busy_interval)
+    {
+        return;
+    }
+    last_busy_ = now;
+    self_.busy_percent = busy_percent_;
+    ++self_.refutation;
+    table_.set_self(self_);
+    queue_.add(self_.instance, urgency::details);
+}
+
+} // namespace parsleyshift
--- /dev/null
+++ b/libs/membership/src/probing.cpp
@@ -0,0 +1,286 @@
+#include <parsleyshift/membership/membership.hpp>
+
+#include <algorithm> // find_if, min
+#include <utility>   // move
+
+namespace parsleyshift
+{
+
+namespace
+{
+
+/// Relayed probes remembered at a time; an older one is answered too late to matter.
+constexpr std::size_t most_relayed = 64;
+/// Dead members above which a returning one is asked for its whole view: a partition has healed.
+constexpr std::size_t partition_size = 8;
+
+} // namespace
+
+void membership::run_probe(time_point now, membership_output& out)
+{
+    if (outstanding_)
+    {
+        fail_probe(now, out);
+    }
+    announce_busy(now);
+    next_probe_ = now + settings_.probe_interval;
+    const std::optional<instance_id> target = next_target();
+    if (!target)
+    {
+        return;
+    }
+    const std::string address = table_.find(*target)->peer_address;
+    outstanding_ = direct_probe{next_sequence_++, *target, address, now + settings_.ack_timeout};
+    send(*target, address, probe{outstanding_->sequence, piggyback(*target)}, out);
+}
+
+std::optional<instance_id> membership::next_target()
+{
+    const bool remote_first = random_.fraction() < settings_.remote_share;
+    std::optional<instance_id> target = next_of(remote_first ? remote_order_ : own_region_order_, !remote_first);
+    if (!target)
+    {
+        target = next_of(remote_first ? own_region_order_ : remote_order_, remote_first);
+    }
+    return target;
+}
+
+std::optional<instance_id> membership::next_of(probe_order& order, bool own_region)
+{
+    for (int round = 0; round < 2; ++round)
+    {
+        while (const std::optional<instance_id> next = order.next())
+        {
+            const member_update* member = table_.find(*next);
+            if (member != nullptr && member->state != member_state::dead)
+            {
+                return next;
+            }
+        }
+        std::vector<instance_id> round_members;
+        for (const member_update& member : table_.all().subspan(1))
+        {
+            if (member.state != member_state::dead && (member.region == self_.region) == own_region)
+            {
+                round_members.push_back(member.instance);
+            }
+        }
+        order.begin(std::move(round_members), random_);
+    }
+    return std::nullopt;
+}
+
+void membership::send_indirect_probes(membership_output& out)
+{
+    outstanding_->indirect_at = never;
+    std::vector<std::size_t> helpers;
+    for (const region_members& group : table_.regions())
+    {
+        helpers.insert(helpers.end(), group.live.begin(), group.live.end());
+    }
+    std::size_t sent = 0;
+    while (sent < settings_.indirect_probes && !helpers.empty())
+    {
+        const std::size_t chosen = random_.index(helpers.size());
+        const member_update& helper = table_.all()[helpers[chosen]];
+        helpers[chosen] = helpers.back();
+        helpers.pop_back();
+        if (helper.instance == outstanding_->target)
+        {
+            continue;
+        }
+        const probe_request request{outstanding_->sequence, outstanding_->target, outstanding_->address};
+        send(helper.instance, helper.peer_address, request, out);
+        ++sent;
+    }
+}
+
+void membership::fail_probe(time_point now, membership_output& out)
+{
+    const instance_id target = outstanding_->target;
+    outstanding_.reset();
+    health_score_ = std::min(settings_.highest_health_score, health_score_ + 1);
+    const member_update* member = table_.find(target);
+    if (member == nullptr)
+    {
+        return;
+    }
+    if (member->state == member_state::alive)
+    {
+        blame(target, member_state::suspect, now, out);
+    }
+    else if (member->state == member_state::leaving)
+    {
+        blame(target, member_state::dead, now, out);
+    }
+}
+
+void membership::reconnect(time_point now, membership_output& out)
+{
+    next_reconnect_ = now + settings_.reconnect_interval;
+    table_.forget_dead_before(now - settings_.forget_dead_after);
+    std::vector<const member_update*> dead;
+    for (const member_update& member : table_.all())
+    {
+        if (member.state == member_state::dead)
+        {
+            dead.push_back(&member);
+        }
+    }
+    if (dead.empty())
+    {
+        return;
+    }
+    const member_update& target = *dead[random_.index(dead.size())];
+    // The receiver finds itself called dead among the updates and refutes it.
+    send(target.instance, target.peer_address, probe{next_sequence_++, piggyback(target.instance)}, out);
+}
+
+void membership::receive(const peer_envelope& envelope, const probe& message, membership_output& out)
+{
+    probe_ack answer{message.sequence, self_.instance, piggyback(envelope.sender)};
+    send(envelope.sender, envelope.peer_address, std::move(answer), out);
+}
+
+void membership::receive(const peer_envelope& envelope, const probe_ack& message, time_point now,
+                         membership_output& out)
+{
+    note_answer(now, out);
+    if (outstanding_ && outstanding_->sequence == message.sequence && outstanding_->target == message.about)
+    {
+        outstanding_.reset();
+        return;
+    }
+    const auto matches = [&](const relayed_probe& relayed)
+    {
+        return relayed.sequence == message.sequence && envelope.sender == message.about;
+    };
+    const auto relayed = std::find_if(relayed_.begin(), relayed_.end(), matches);
+    if (relayed == relayed_.end())
+    {
+        return;
+    }
+    const relayed_probe answered = *relayed;
+    relayed_.erase(relayed);
+    probe_ack passed_on{answered.origin_sequence, message.about, piggyback(answered.origin)};
+    send(answered.origin, answered.origin_address, std::move(passed_on), out);
+}
+
+void membership::receive(const peer_envelope& envelope, const probe_request& message, membership_output& out)
+{
+    if (message.target == self_.instance)
+    {
+        return;
+    }
+    if (relayed_.size() >= most_relayed)
+    {
+        relayed_.erase(relayed_.begin());
+    }
+    relayed_.push_back({next_sequence_, envelope.sender, envelope.peer_address, message.sequence});
+    send(message.target, message.target_address, probe{next_sequence_++, piggyback(message.target)}, out);
+}
+
+void membership::ask_for_view(time_point now, membership_output& out)
+{
+    next_join_ = now + settings_.join_retry;
+    if (view_received_ || join_candidates_.empty())
+    {
+        next_join_ = never;
+        return;
+    }
+    if (joined_)
+    {
+        // Nobody has answered in time; goes on at a lower rate.
+        next_join_ = now + settings_.join_patience;
+    }
+    std::vector<join_candidate> preferred;
+    for (const join_candidate& candidate : join_candidates_)
+    {
+        if (candidate.own_region)
+        {
+            preferred.push_back(candidate);
+        }
+    }
+    // Every other choice is over all regions, in case the own region is cut off.
+    const bool any_region = preferred.empty() || random_.fraction() < 0.5;
+    const std::vector<join_candidate>& choices = any_region ? join_candidates_ : preferred;
+    const join_candidate& chosen = choices[random_.index(choices.size())];
+    send(chosen.instance, chosen.address, member_updates{{self_}, true}, out);
+}
+
+void membership::receive(const peer_envelope& envelope, const member_updates& message, time_point now,
+                         membership_output& out)
+{
+    if (message.wants_all)
+    {
+        answer_view(envelope, now, out);
+        return;
+    }
+    if (next_join_ != never && !view_received_)
+    {
+        // Only a member that has answered a join, or that announces a stop, sends updates outside of probes.
+        const bool from_view = !message.updates.empty() && message.updates.front().instance == envelope.sender;
+        view_received_ = from_view;
+        joined_ = joined_ || from_view;
+        next_join_ = from_view ? never : next_join_;
+    }
+}
+
+void membership::answer_view(const peer_envelope& envelope, time_point now, membership_output& out)
+{
+    if (now >= view_answers_since_ + std::chrono::seconds{1})
+    {
+        view_answers_since_ = now;
+        view_answers_ = 0;
+    }
+    if (++view_answers_ > settings_.view_answers_per_second)
+    {
+        return;
+    }
+    member_updates part;
+    for (const member_update& member : table_.all())
+    {
+        if (member.state == member_state::dead)
+        {
+            continue;
+        }
+        part.updates.push_back(member);
+        if (part.updates.size() == settings_.updates_per_view_message)
+        {
+            send(envelope.sender, envelope.peer_address, part, out);
+            part.updates.clear();
+        }
+    }
+    if (!part.updates.empty())
+    {
+        send(envelope.sender, envelope.peer_address, std::move(part), out);
+    }
+}
+
+void membership::note_change(const member_update& update, member_state before, time_point now, membership_output& out)
+{
+    out.changes.push_back({update.instance, before, update.state});
+    if (update.state == member_state::suspect)
+    {
+        suspicions_.push_back({update.instance, update.started, update.refutation, now});
+    }
+    if (update.state == member_state::leaving)
+    {
+        leaves_.push_back(update.instance);
+        const duration spacing{50};
+        send_leaves_at_ = std::max(now, last_leaves_ + spacing);
+    }
+    if (before != member_state::dead || update.state == member_state::dead)
+    {
+        return;
+    }
+    probe_order& order = update.region == self_.region ? own_region_order_ : remote_order_;
+    order.add(update.instance, random_);
+    if (table_.dead_count() >= partition_size && now >= next_resynchronization_)
+    {
+        next_resynchronization_ = now + std::chrono::seconds{30};
+        send(update.instance, update.peer_address, member_updates{{self_}, true}, out);
+    }
+}
+
+} // namespace parsleyshift
--- a/libs/placement/include/parsleyshift/placement/placement_planner.hpp
+++ b/libs/placement/include/parsleyshift/placement/placement_planner.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <parsleyshift/core/clock.hpp>        // time_point
-#include <parsleyshift/messages/action.hpp>   // send_placement_order
-#include <parsleyshift/messages/event.hpp>    // placement_answered
-#include <parsleyshift/messages/peer.hpp>     // member_update
-#include <parsleyshift/placement/inputs.hpp>  // placement_configuration, placement_endpoint
+#include <parsleyshift/core/clock.hpp>         // time_point
+#include <parsleyshift/messages/action.hpp>    // send_placement_order
+#include <parsleyshift/messages/event.hpp>     // placement_answered
+#include <parsleyshift/messages/peer.hpp>      // member_update
+#include <parsleyshift/placement/inputs.hpp>   // placement_configuration, placement_endpoint
 #include <parsleyshift/placement/settings.hpp> // placement_settings
 
 #include <span>   // span
