--- /dev/null
+++ b/libs/decision_core/src/call_manager.cpp
@@ -0,0 +1,296 @@
+#include "call_manager.hpp" // call_manager
+
+#include <parsleyshift/quarantine/request_fingerprint.hpp> // request_fingerprint
+
+#include <algorithm> // find_if, max
+#include <string>    // string, to_string
+
+namespace parsleyshift::detail
+{
+
+std::optional<endpoint_id> choose_plain_endpoint(core_state& state, const service_id& service,
+                                                 const std::vector<endpoint_id>& excluded)
+{
+    routing_query query;
+    query.service = service;
+    query.excluded = excluded;
+    const auto& candidates =
+        state.candidates.gather_service(query, state.directory, state.ledger, state.health, state.prefixes, state.now);
+    auto chosen = state.chooser.choose(candidates, query, state.random);
+    if (!chosen && !excluded.empty())
+    {
+        query.excluded.clear();
+        chosen = state.chooser.choose(candidates, query, state.random);
+    }
+    if (!chosen)
+    {
+        return std::nullopt;
+    }
+    return chosen->entry->endpoint;
+}
+
+void call_manager::handle(const call_request& asked)
+{
+    const auto refuse = [&](error why)
+    {
+        state_.reject(asked.request, outcome::not_run, std::move(why));
+    };
+    if (state_.stopping)
+    {
+        refuse(make_error(error_kind::shutting_down, "the instance is stopping", duration{0}));
+        return;
+    }
+    const service_record* service = state_.records.service(asked.service);
+    if (service == nullptr || service->kind != service_kind::plain)
+    {
+        refuse(make_error(error_kind::unknown_name, "service: no plain service is named " + asked.service.value()));
+        return;
+    }
+    const auto operation = std::find_if(service->operations.begin(), service->operations.end(),
+                                        [&](const auto& known) { return known.name == asked.operation; });
+    if (operation == service->operations.end())
+    {
+        refuse(
+            make_error(error_kind::unknown_name, "operation: " + asked.service.value() + " has no " + asked.operation));
+        return;
+    }
+    if (!operation->idempotent)
+    {
+        refuse(make_error(error_kind::invalid_field,
+                          "operation: " + asked.operation + " is not idempotent; place it with POST /v1/orders"));
+        return;
+    }
+    if (active_.size() >= state_.settings.requests.capacity)
+    {
+        refuse(make_error(error_kind::queue_full, "the instance has too many calls in progress",
+                          state_.come_back(duration{1'000})));
+        return;
+    }
+    call added;
+    added.asked = asked;
+    added.work_class = service->default_class;
+    added.print = request_fingerprint(asked.customer, asked.service, asked.operation, asked.payload);
+    added.arrived = state_.now;
+    added.deadline = state_.now + asked.timeout.value_or(state_.settings.requests.call_timeout);
+    if (state_.quarantine.verdict(added.print, state_.now) == run_verdict::quarantined)
+    {
+        refuse(state_.quarantine.rejection(added.print, state_.now));
+        return;
+    }
+    call& active = active_.insert_or_assign(asked.request, std::move(added)).first->second;
+    state_.timers.add(active.deadline, core_timer{timer_kind::request_timeout, asked.request, 0});
+    if (start_attempt(active))
+    {
+        plan_hedge(active);
+    }
+}
+
+bool call_manager::start_attempt(call& active)
+{
+    const auto chosen = choose_plain_endpoint(state_, active.asked.service, active.tried);
+    if (!chosen)
+    {
+        reject(active,
+               make_error(error_kind::no_endpoint, "no endpoint of " + active.asked.service.value() + " is known",
+                          state_.come_back(duration{1'000})));
+        return false;
+    }
+    if (!state_.quarantine.may_run(active.print, *chosen, state_.now))
+    {
+        // A suspect waits until it would run alone; the timeout bounds the wait.
+        state_.timers.add(state_.now + state_.settings.requests.local_retry,
+                          core_timer{timer_kind::try_again, active.asked.request, ++active.step});
+        return false;
+    }
+    const endpoint_entry* entry = state_.directory.find(*chosen);
+    const attempt_id attempt = state_.next_attempt(attempt_owner::call, active.asked.request);
+    active.running.push_back({attempt, *chosen, entry->address, state_.now});
+    active.tried.push_back(*chosen);
+    ++active.attempts;
+    active.tracker.attempt_sent();
+    state_.ledger.started(*chosen, 0, state_.now);
+    state_.quarantine.started(attempt, active.print, *chosen);
+    start_call call;
+    call.attempt = attempt;
+    call.endpoint = *chosen;
+    call.address = entry->address;
+    call.operation = active.asked.operation;
+    call.payload = active.asked.payload;
+    call.not_after = active.deadline;
+    call.answer_by = active.deadline;
+    state_.emit(std::move(call));
+    return true;
+}
+
+hedge_situation call_manager::situation_of(const call& active) const
+{
+    hedge_situation situation;
+    situation.service = active.asked.service;
+    situation.attempts = active.attempts;
+    situation.time_left = active.deadline - state_.now;
+    return situation;
+}
+
+void call_manager::plan_hedge(const call& active)
+{
+    const priority_record* priority = state_.records.priority(active.work_class);
+    if (priority == nullptr)
+    {
+        return;
+    }
+    if (const auto delay = hedging_.delay(situation_of(active), *priority))
+    {
+        state_.timers.add(state_.now + *delay, core_timer{timer_kind::hedge_due, active.asked.request, active.step});
+    }
+}
+
+void call_manager::hedge(call& active)
+{
+    const priority_record* priority = state_.records.priority(active.work_class);
+    if (priority != nullptr && active.running.size() == 1 &&
+        hedging_.may_hedge(situation_of(active), *priority, state_.budget_of(active.asked.service)))
+    {
+        start_attempt(active);
+    }
+}
+
+void call_manager::answered(attempt_id attempt, request_id request, const std::string& result)
+{
+    const auto found = active_.find(request);
+    if (found == active_.end())
+    {
+        return;
+    }
+    call& active = found->second;
+    const auto running = std::find_if(active.running.begin(), active.running.end(),
+                                      [&](const auto& entry) { return entry.attempt == attempt; });
+    if (running == active.running.end())
+    {
+        return;
+    }
+    const duration taken = state_.now - running->began;
+    state_.health.first_token(running->endpoint, taken, state_.now);
+    state_.health.succeeded(running->endpoint);
+    state_.attempt_over(attempt, running->endpoint, 0, run_end::completed);
+    active.running.erase(running);
+    hedging_.answered(active.asked.service, active.work_class, taken);
+    state_.budget_of(active.asked.service).succeeded();
+    state_.emit(
+        observe{observed::answer_ms, active.work_class, active.asked.customer, (state_.now - active.arrived).count()});
+    state_.emit(call_answer{request, result});
+    end(active, outcome::completed, std::nullopt);
+}
+
+void call_manager::failed(attempt_id attempt, request_id request, attempt_failure failure)
+{
+    const auto found = active_.find(request);
+    if (found == active_.end())
+    {
+        return;
+    }
+    call& active = found->second;
+    const auto running = std::find_if(active.running.begin(), active.running.end(),
+                                      [&](const auto& entry) { return entry.attempt == attempt; });
+    if (running == active.running.end())
+    {
+        return;
+    }
+    const endpoint_id endpoint = running->endpoint;
+    active.running.erase(running);
+    state_.attempt_over(attempt, endpoint, 0, end_of(failure));
+    active.tracker.attempt_failed(failure);
+    if (failure == attempt_failure::leaving)
+    {
+        state_.endpoint_leaves(endpoint);
+    }
+    else if (failure != attempt_failure::not_started && failure != attempt_failure::deadline_passed)
+    {
+        state_.health.failed(endpoint, state_.now);
+    }
+    active.last_error =
+        make_error(error_kind::endpoint_failed, "endpoint " + endpoint.value() + ": " + std::string{name_of(failure)});
+    if (!active.running.empty())
+    {
+        return;
+    }
+    retry_situation situation;
+    situation.failure = failure;
+    situation.kind = service_kind::plain;
+    situation.attempts = active.attempts;
+    situation.time_left = active.deadline - state_.now;
+    const auto decision = state_.retry.decide(situation, state_.budget_of(active.asked.service), state_.random);
+    if (decision.step == retry_step::restart)
+    {
+        state_.timers.add(state_.now + decision.delay, core_timer{timer_kind::try_again, request, ++active.step});
+        return;
+    }
+    const auto kind = decision.budget_spent ? error_kind::retry_budget_spent : error_kind::endpoint_failed;
+    reject(active, make_error(kind, active.last_error->detail, state_.come_back(duration{500})));
+}
+
+void call_manager::timer(const core_timer& due)
+{
+    const auto found = active_.find(due.request);
+    if (found == active_.end())
+    {
+        return;
+    }
+    call& active = found->second;
+    if (due.what == timer_kind::request_timeout)
+    {
+        reject(active,
+               make_error(error_kind::deadline_unreachable, "no answer in time", state_.come_back(duration{1'000})));
+    }
+    else if (due.what == timer_kind::try_again && due.step == active.step)
+    {
+        start_attempt(active);
+    }
+    else if (due.what == timer_kind::hedge_due && due.step == active.step)
+    {
+        hedge(active);
+    }
+}
+
+void call_manager::caller_gone(request_id request)
+{
+    if (const auto found = active_.find(request); found != active_.end())
+    {
+        end(found->second, found->second.tracker.without_answer(),
+            make_error(error_kind::cancelled, "the caller disconnected"));
+    }
+}
+
+void call_manager::stop_others(call& active)
+{
+    for (const auto& running : active.running)
+    {
+        state_.emit(cancel_attempt{running.attempt, running.endpoint, running.address});
+        state_.attempt_over(running.attempt, running.endpoint, 0, run_end::stopped);
+    }
+    active.running.clear();
+}
+
+void call_manager::reject(call& active, error why)
+{
+    const outcome what = active.tracker.without_answer();
+    state_.reject(active.asked.request, what, why);
+    end(active, what, std::move(why));
+}
+
+void call_manager::end(call& active, outcome what, std::optional<error> why)
+{
+    stop_others(active);
+    request_finished finished;
+    finished.work_class = active.work_class;
+    finished.customer = active.asked.customer;
+    finished.what = what;
+    if (why)
+    {
+        finished.why = why->kind;
+    }
+    state_.emit(finished);
+    const request_id request = active.asked.request;
+    active_.erase(request);
+}
+
+} // namespace parsleyshift::detail
--- /dev/null
+++ b/libs/decision_core/src/core_state.cpp
@@ -0,0 +1,142 @@
+#include "core_state.hpp" // core_state
+
+#include <parsleyshift/core/hash.hpp>           // mix_hash, stable_hash
+#include <parsleyshift/routing/retry_after.hpp> // retry_after
+
+#include <variant> // variant
+
+namespace parsleyshift::detail
+{
+namespace
+{
+
+/// Low bits of an attempt number that count; the high bits tell instances and incarnations apart.
+constexpr unsigned attempt_counter_bits = 28;
+/// Peers that a quarantine notice goes to; each passes new notices on.
+constexpr std::size_t notice_peers = 3;
+
+candidate_policy candidates_of(const core_settings& settings)
+{
+    candidate_policy policy;
+    policy.instance = settings.self.instance;
+    policy.availability_zone = settings.self.availability_zone;
+    policy.region = settings.self.region;
+    policy.subset_size = settings.endpoint_subset;
+    return policy;
+}
+
+std::uint64_t identity_hash(const member_update& self)
+{
+    return mix_hash(stable_hash(self.instance.value()), self.started.value());
+}
+
+} // namespace
+
+core_state::core_state(core_settings given, token_codec codec)
+    : settings(std::move(given)),
+      random(mix_hash(settings.seed, identity_hash(settings.self))),
+      tokens(std::move(codec)),
+      members(settings.self, settings.membership, mix_hash(settings.seed, 1)),
+      configuration(settings.self, parsing_acceptor{}, settings.configuration, mix_hash(settings.seed, 2)),
+      health(settings.health),
+      candidates(candidates_of(settings)),
+      retry(settings.backoff),
+      quarantine(settings.quarantine),
+      limits(settings.self.started, mix_hash(settings.seed, 3)),
+      entries(settings.self, settings.entry),
+      attempt_prefix_(identity_hash(settings.self) & ~((std::uint64_t{1} << attempt_counter_bits) - 1))
+{
+}
+
+void core_state::send(const instance_id& to, const std::string& peer_address, peer_message message)
+{
+    if (to == self().instance)
+    {
+        loopback.push_back(std::move(message));
+        return;
+    }
+    if (!peer_address.empty())
+    {
+        emit(send_to_peer{to, peer_address, std::move(message)});
+    }
+}
+
+void core_state::send(const instance_id& to, peer_message message)
+{
+    const member_update* member = members.find(to);
+    if (to == self().instance || member != nullptr)
+    {
+        send(to, member == nullptr ? std::string{} : member->peer_address, std::move(message));
+    }
+}
+
+attempt_id core_state::next_attempt(attempt_owner owner, request_id request)
+{
+    const attempt_id attempt{attempt_prefix_ | ++attempt_count_};
+    attempts.emplace(attempt, attempt_entry{owner, request});
+    return attempt;
+}
+
+retry_budget& core_state::budget_of(const service_id& service)
+{
+    return budgets.try_emplace(service, settings.retries).first->second;
+}
+
+duration core_state::come_back(duration wait)
+{
+    crowd waiting;
+    waiting.expected_wait = wait;
+    return retry_after(waiting, random);
+}
+
+void core_state::reject(request_id request, outcome what, error why, std::int64_t delivered)
+{
+    request_rejected rejection;
+    rejection.request = request;
+    rejection.what = what;
+    rejection.why = std::move(why);
+    rejection.delivered = delivered;
+    emit(std::move(rejection));
+}
+
+void core_state::attempt_over(attempt_id attempt, const endpoint_id& endpoint, std::int64_t memory, run_end how)
+{
+    attempts.erase(attempt);
+    ledger.ended(endpoint, memory, now);
+    if (const auto notice = quarantine.ended(attempt, how, now))
+    {
+        spread({*notice});
+    }
+}
+
+void core_state::spread(const std::vector<quarantine_notice>& notices)
+{
+    const auto known = members.members();
+    for (const auto& notice : notices)
+    {
+        for (std::size_t sent = 0; sent < notice_peers && known.size() > 1; ++sent)
+        {
+            const member_update& peer = known[1 + random.index(known.size() - 1)];
+            if (is_live(peer.state))
+            {
+                send(peer.instance, peer.peer_address, notice);
+            }
+        }
+    }
+}
+
+void core_state::endpoint_leaves(const endpoint_id& endpoint)
+{
+    if (directory.handle_leaving(endpoint))
+    {
+        log(log_event::endpoint_leaving, endpoint.value());
+    }
+}
+
+run_end end_of(attempt_failure failure) noexcept
+{
+    const bool may_have_died = failure == attempt_failure::link_broken || failure == attempt_failure::attempt_unknown;
+    return may_have_died ? run_end::broken : run_end::stopped;
+}
+
+} // namespace parsleyshift::detail
--- /dev/null
+++ b/libs/decision_core/src/generation.cpp
@@ -0,0 +1,650 @@
+#include "generation.hpp" // generation
+
+#include <algorithm> // min, max
+#include <utility>   // move
+
+namespace parsleyshift::detail
+{
+namespace
+{
+
+/// Gaps between tokens above this count as stalls; the target for 95 in 100 gaps is 63 ms.
+constexpr duration stall_threshold{500};
+/// Quantile of the output length that the local choice reserves memory for.
+constexpr double local_reserve_quantile = 0.7;
+
+std::string generation_name(const member_update& self, request_id request)
+{
+    return self.instance.value() + "." + std::to_string(self.started.value()) + "." + std::to_string(request.value());
+}
+
+} // namespace
+
+generation::generation(core_state& state, pool_manager& pools, generation_request asked, work_description work,
+                       limit_charge charge, fingerprint print)
+    : state_(state),
+      pools_(pools),
+      asked_(std::move(asked)),
+      work_(std::move(work)),
+      charge_(std::move(charge)),
+      print_(print),
+      name_(generation_name(state.self(), asked_.request)),
+      machine_(this),
+      arrived_(state.now),
+      deadline_(work_.start_by)
+{
+}
+
+generation::generation(core_state& state, pool_manager& pools, const resume_request& resume,
+                       const continuation_token& token)
+    : state_(state),
+      pools_(pools),
+      name_(token.generation),
+      machine_(this),
+      cursor_(resume.offset),
+      attempt_(token.attempt),
+      endpoint_(token.endpoint),
+      address_(token.endpoint_address),
+      delivered_(resume.offset),
+      resumed_(true),
+      arrived_(state.now),
+      deadline_(state.now + state.settings.requests.call_timeout)
+{
+    asked_.request = resume.request;
+    asked_.customer = token.customer;
+    asked_.service = token.service;
+    asked_.work_class = token.work_class;
+    asked_.how = delivery::stream;
+}
+
+void generation::begin()
+{
+    machine_.start();
+    if (!resumed_)
+    {
+        add_timer(timer_kind::request_timeout, deadline_ - state_.now, 0);
+        ask_for_permit();
+        return;
+    }
+    tracker_.attempt_ran();
+    permit_grant existing;
+    existing.endpoint = endpoint_;
+    machine_.process_event(generation_events::permitted{existing});
+}
+
+void generation::ask_for_permit()
+{
+    const auto pool = pools_.pool_for(asked_.service);
+    if (!pool)
+    {
+        denied(make_error(error_kind::no_endpoint, "no endpoint of service " + asked_.service.value() + " is known",
+                          state_.come_back(duration{1'000})));
+        return;
+    }
+    pool_ = *pool;
+    ++step_;
+    waiting_for_permit_ = true;
+    scheduler_answered_ = false;
+    state_.send(pools_.host_of(pool_), permit_request{pool_, work_});
+    add_timer(timer_kind::permit_wait, state_.settings.requests.permit_patience, step_);
+}
+
+void generation::permit_wait_over()
+{
+    if (!waiting_for_permit_)
+    {
+        return;
+    }
+    if (!scheduler_answered_)
+    {
+        choose_locally();
+        return;
+    }
+    scheduler_answered_ = false;
+    state_.send(pools_.host_of(pool_), permit_request{pool_, work_});
+    add_timer(timer_kind::permit_wait, state_.settings.requests.permit_keepalive, step_);
+}
+
+void generation::choose_locally()
+{
+    const auto chosen = pools_.choose_locally(pool_, expected_memory());
+    if (!chosen || !state_.quarantine.may_run(print_, *chosen, state_.now))
+    {
+        // Asks again, in case the scheduler is back, and looks for room in the own share meanwhile.
+        state_.send(pools_.host_of(pool_), permit_request{pool_, work_});
+        add_timer(timer_kind::permit_wait, state_.settings.requests.local_retry, step_);
+        return;
+    }
+    state_.send(pools_.host_of(pool_), permit_withdrawal{pool_, asked_.request});
+    permit_grant own;
+    own.request = asked_.request;
+    own.permit = permit_id{state_.random.bits()};
+    own.endpoint = *chosen;
+    permitted(own, false);
+}
+
+void generation::scheduler_moved()
+{
+    if (waiting_for_permit_)
+    {
+        scheduler_answered_ = false;
+        state_.send(pools_.host_of(pool_), permit_request{pool_, work_});
+        return;
+    }
+    if (permit_)
+    {
+        renew_permit();
+    }
+}
+
+void generation::queued()
+{
+    scheduler_answered_ = true;
+}
+
+void generation::permitted(const permit_grant& grant, bool from_scheduler)
+{
+    const endpoint_entry* entry = state_.directory.find(grant.endpoint);
+    const bool usable = waiting_for_permit_ && entry != nullptr && !entry->leaving &&
+                        state_.quarantine.may_run(print_, grant.endpoint, state_.now);
+    if (!usable)
+    {
+        if (from_scheduler && (!permit_ || permit_->permit != grant.permit))
+        {
+            state_.send(pools_.host_of(pool_), permit_return{pool_, grant.permit, grant.endpoint, asked_.customer,
+                                                             asked_.work_class, 0, false});
+        }
+        if (waiting_for_permit_)
+        {
+            // The scheduler does not know yet what is known here; asks again after a moment.
+            waiting_for_permit_ = false;
+            add_timer(timer_kind::try_again, state_.settings.requests.local_retry, ++step_);
+        }
+        return;
+    }
+    waiting_for_permit_ = false;
+    permit_ = grant;
+    permit_from_scheduler_ = from_scheduler;
+    machine_.process_event(generation_events::permitted{grant});
+}
+
+void generation::denied(const error& why)
+{
+    waiting_for_permit_ = false;
+    machine_.process_event(generation_events::denied{why});
+}
+
+void generation::start_attempt(const permit_grant& grant)
+{
+    attempt_began_ = state_.now;
+    last_progress_ = state_.now;
+    if (resumed_)
+    {
+        state_.attempts.emplace(attempt_, core_state::attempt_entry{attempt_owner::generation, asked_.request});
+        send_resume();
+        return;
+    }
+    ++attempts_;
+    const endpoint_entry* entry = state_.directory.find(grant.endpoint);
+    endpoint_ = grant.endpoint;
+    address_ = entry->address;
+    memory_ = expected_memory();
+    cursor_ = token_cursor{};
+    held_.clear();
+    attempt_ = state_.next_attempt(attempt_owner::generation, asked_.request);
+    state_.ledger.started(endpoint_, memory_, state_.now);
+    state_.prefixes.expect(endpoint_, work_.prefixes);
+    state_.quarantine.started(attempt_, print_, endpoint_);
+    pools_.attempt_started(pool_, endpoint_, memory_);
+    tracker_.attempt_sent();
+    state_.emit(start_generation{attempt_, endpoint_, address_, asked_.model, asked_.prompt, work_.max_tokens,
+                                 grant.priority, deadline_});
+    state_.emit(observe{observed::queue_ms, asked_.work_class, asked_.customer, (state_.now - arrived_).count()});
+    if (permit_from_scheduler_)
+    {
+        add_timer(timer_kind::renew_permit, state_.settings.requests.permit_renewal, step_);
+    }
+    else
+    {
+        renew_permit();
+    }
+}
+
+void generation::started()
+{
+    tracker_.attempt_ran();
+}
+
+void generation::tokens_arrived(std::int64_t offset, token_list& batch)
+{
+    switch (cursor_.accept(offset, batch))
+    {
+    case token_arrival::next:
+        machine_.process_event(generation_events::tokens{batch});
+        break;
+    case token_arrival::duplicate:
+        break;
+    case token_arrival::gap:
+        // Reads the missing tokens again from the engine.
+        attempt_lost(attempt_failure::link_broken);
+        break;
+    }
+}
+
+void generation::deliver(token_list& batch)
+{
+    tracker_.attempt_ran();
+    note_progress(batch.size());
+    resumes_ = 0;
+    if (!streams())
+    {
+        held_.insert(held_.end(), std::make_move_iterator(batch.begin()), std::make_move_iterator(batch.end()));
+        return;
+    }
+    announce_start();
+    const std::int64_t offset = delivered_;
+    delivered_ += static_cast<std::int64_t>(batch.size());
+    if (!detached_)
+    {
+        state_.emit(stream_tokens{asked_.request, offset, std::move(batch)});
+    }
+}
+
+void generation::announce_start()
+{
+    if (!announced_ && !detached_)
+    {
+        announced_ = true;
+        state_.emit(stream_started{asked_.request, name_, continuation()});
+    }
+}
+
+void generation::note_progress(std::size_t count)
+{
+    const duration taken = state_.now - last_progress_;
+    const bool first = cursor_.next() == static_cast<std::int64_t>(count) && !resumed_;
+    if (first)
+    {
+        state_.health.first_token(endpoint_, state_.now - attempt_began_, state_.now);
+        state_.emit(
+            observe{observed::first_token_ms, asked_.work_class, asked_.customer, (state_.now - arrived_).count()});
+    }
+    else
+    {
+        state_.health.token_gap(endpoint_, taken, state_.now);
+        state_.emit(observe{observed::token_gap_ms, asked_.work_class, asked_.customer, taken.count()});
+    }
+    if (!first && taken > stall_threshold)
+    {
+        state_.emit(observe{observed::stall_ms, asked_.work_class, asked_.customer, taken.count()});
+    }
+    state_.health.succeeded(endpoint_);
+    last_progress_ = state_.now;
+}
+
+void generation::ended(std::int64_t count)
+{
+    machine_.process_event(generation_events::ended{count});
+}
+
+bool generation::is_complete(std::int64_t count)
+{
+    return count == cursor_.next();
+}
+
+void generation::complete()
+{
+    const std::int64_t count = cursor_.next();
+    end_attempt(run_end::completed);
+    return_permit(true);
+    state_.budget_of(asked_.service).succeeded();
+    state_.lengths.record(asked_.work_class, asked_.customer, count, state_.now);
+    state_.emit(observe{observed::length_tokens, asked_.work_class, asked_.customer, count});
+    state_.emit(observe{observed::answer_ms, asked_.work_class, asked_.customer, (state_.now - arrived_).count()});
+    if (!streams())
+    {
+        state_.emit(whole_answer{asked_.request, name_, std::move(held_)});
+    }
+    else if (!detached_)
+    {
+        announce_start();
+        state_.emit(stream_ended{asked_.request, count});
+    }
+    finish(outcome::completed, std::nullopt);
+}
+
+void generation::attempt_lost(attempt_failure failure)
+{
+    const bool engine_fault = failure == attempt_failure::link_broken || failure == attempt_failure::connect_failed ||
+                              failure == attempt_failure::endpoint_error;
+    if (engine_fault)
+    {
+        state_.health.failed(endpoint_, state_.now);
+    }
+    if (failure == attempt_failure::leaving)
+    {
+        state_.endpoint_leaves(endpoint_);
+    }
+    if (!resumed_)
+    {
+        tracker_.attempt_failed(failure);
+    }
+    retry_situation situation;
+    // A resume that finds no engine is a broken link of the attempt, not a proof that it did not run.
+    const bool after_tokens = cursor_.next() > 0;
+    situation.failure =
+        after_tokens && failure == attempt_failure::connect_failed ? attempt_failure::link_broken : failure;
+    situation.how = asked_.how;
+    situation.delivered = streams() ? delivered_ : 0;
+    situation.attempts = std::max(1, attempts_);
+    situation.resumes = resumes_;
+    const bool no_deadline = streams() && delivered_ > 0;
+    situation.time_left = no_deadline ? state_.settings.requests.resume_grace : deadline_ - state_.now;
+    decision_ = state_.retry.decide(situation, state_.budget_of(asked_.service), state_.random);
+    machine_.process_event(generation_events::attempt_lost{failure});
+}
+
+bool generation::may_try_again(attempt_failure /*failure*/)
+{
+    return decision_.step != retry_step::give_up && !detached_;
+}
+
+bool generation::may_resume(attempt_failure /*failure*/)
+{
+    return decision_.step == retry_step::resume;
+}
+
+bool generation::may_restart(attempt_failure /*failure*/)
+{
+    return decision_.step == retry_step::restart && !resumed_;
+}
+
+void generation::ask_again(attempt_failure failure)
+{
+    if (!resumed_)
+    {
+        cancel_at_engine();
+        end_attempt(end_of(failure));
+        return_permit(false);
+        tried_.push_back(endpoint_);
+    }
+    add_timer(timer_kind::try_again, decision_.delay, ++step_);
+}
+
+void generation::schedule_resume()
+{
+    ++resumes_;
+    add_timer(timer_kind::resume_due, decision_.delay, ++step_);
+}
+
+void generation::send_resume()
+{
+    last_progress_ = state_.now;
+    state_.emit(resume_generation{attempt_, endpoint_, address_, cursor_.next()});
+}
+
+void generation::timer(const core_timer& due)
+{
+    const bool current = due.step == step_;
+    switch (due.what)
+    {
+    case timer_kind::request_timeout:
+        // A stream that has begun has met its deadline.
+        if (!streams() || cursor_.next() == 0)
+        {
+            machine_.process_event(generation_events::timed_out{});
+        }
+        break;
+    case timer_kind::permit_wait:
+        if (current)
+        {
+            permit_wait_over();
+        }
+        break;
+    case timer_kind::try_again:
+        if (current && resumed_)
+        {
+            permit_grant existing;
+            existing.endpoint = endpoint_;
+            machine_.process_event(generation_events::permitted{existing});
+        }
+        else if (current)
+        {
+            ask_for_permit();
+        }
+        break;
+    case timer_kind::resume_due:
+        if (current)
+        {
+            machine_.process_event(generation_events::resume_due{});
+        }
+        break;
+    case timer_kind::renew_permit:
+        if (permit_ && current)
+        {
+            renew_permit();
+        }
+        break;
+    case timer_kind::resume_grace_over:
+        if (detached_ && !taken_over_)
+        {
+            cancel();
+        }
+        break;
+    case timer_kind::repeat_takeover:
+    case timer_kind::hedge_due:
+    case timer_kind::forward_order:
+    case timer_kind::handover:
+        break;
+    }
+}
+
+void generation::renew_permit()
+{
+    state_.send(pools_.host_of(pool_),
+                permit_registration{pool_, permit_->permit, endpoint_, work_, cursor_.next(), permit_->priority});
+    add_timer(timer_kind::renew_permit, state_.settings.requests.permit_renewal, step_);
+}
+
+void generation::return_permit(bool completed)
+{
+    if (permit_)
+    {
+        state_.send(pools_.host_of(pool_), permit_return{pool_, permit_->permit, endpoint_, asked_.customer,
+                                                         asked_.work_class, cursor_.next(), completed});
+        permit_.reset();
+    }
+}
+
+void generation::end_attempt(run_end how)
+{
+    if (resumed_)
+    {
+        state_.attempts.erase(attempt_);
+        return;
+    }
+    state_.attempt_over(attempt_, endpoint_, memory_, how);
+    pools_.attempt_ended(pool_, endpoint_, memory_);
+}
+
+void generation::cancel_at_engine()
+{
+    state_.emit(cancel_attempt{attempt_, endpoint_, address_});
+}
+
+void generation::reject(const error& why)
+{
+    give_up(tracker_.without_answer(), why);
+}
+
+void generation::reject_late()
+{
+    const bool at_engine = state_.attempts.contains(attempt_);
+    if (at_engine)
+    {
+        cancel_at_engine();
+        end_attempt(run_end::stopped);
+        return_permit(false);
+    }
+    else
+    {
+        state_.send(pools_.host_of(pool_), permit_withdrawal{pool_, asked_.request});
+    }
+    const char* what = at_engine ? "the engine did not answer in time" : "no endpoint had room in time";
+    give_up(tracker_.without_answer(),
+            make_error(error_kind::deadline_unreachable, what, state_.come_back(duration{1'000})));
+}
+
+void generation::fail(attempt_failure failure)
+{
+    if (resumed_ || failure == attempt_failure::link_broken)
+    {
+        cancel_at_engine();
+    }
+    end_attempt(end_of(failure));
+    return_permit(false);
+    const auto kind = decision_.budget_spent                    ? error_kind::retry_budget_spent
+                      : failure == attempt_failure::link_broken ? error_kind::link_broken
+                                                                : error_kind::endpoint_failed;
+    give_up(tracker_.without_answer(),
+            make_error(kind, "endpoint " + endpoint_.value() + ": " + std::string{name_of(failure)}));
+}
+
+void generation::fail_incomplete(std::int64_t count)
+{
+    end_attempt(run_end::stopped);
+    return_permit(false);
+    tracker_.attempt_ran();
+    give_up(tracker_.without_answer(),
+            make_error(error_kind::incomplete_answer,
+                       "received " + std::to_string(cursor_.next()) + " of " + std::to_string(count) + " tokens"));
+}
+
+void generation::cancel()
+{
+    machine_.process_event(generation_events::abandoned{});
+}
+
+void generation::abandon()
+{
+    if (state_.attempts.contains(attempt_))
+    {
+        cancel_at_engine();
+        end_attempt(run_end::stopped);
+        return_permit(false);
+    }
+    else
+    {
+        state_.send(pools_.host_of(pool_), permit_withdrawal{pool_, asked_.request});
+    }
+    give_up(tracker_.without_answer(), make_error(error_kind::cancelled, "cancelled by the caller"));
+}
+
+void generation::caller_gone()
+{
+    // Only a stream that has begun can be resumed by its caller.
+    if (!streams() || delivered_ == 0)
+    {
+        cancel();
+        return;
+    }
+    detached_ = true;
+    state_.emit(set_attempt_reading{attempt_, false});
+    add_timer(timer_kind::resume_grace_over, state_.settings.requests.resume_grace, step_);
+}
+
+void generation::taken_over()
+{
+    if (!detached_)
+    {
+        state_.reject(asked_.request, outcome::failed,
+                      make_error(error_kind::link_broken, "the stream was resumed on another connection"), delivered_);
+    }
+    taken_over_ = true;
+    end_attempt(run_end::stopped);
+    return_permit(false);
+    // The stream goes on elsewhere; here it has only run in part.
+    finish(outcome::failed, make_error(error_kind::link_broken, "resumed elsewhere"));
+}
+
+void generation::caller_reading(bool enabled)
+{
+    if (state_.attempts.contains(attempt_))
+    {
+        state_.emit(set_attempt_reading{attempt_, enabled});
+    }
+}
+
+void generation::hand_over()
+{
+    if (!streams() || delivered_ == 0 || detached_)
+    {
+        return;
+    }
+    state_.reject(asked_.request, outcome::failed,
+                  make_error(error_kind::shutting_down, "resume at another instance with the continuation token"),
+                  delivered_);
+    detached_ = true;
+    taken_over();
+}
+
+void generation::give_up(outcome what, error why)
+{
+    if (!detached_)
+    {
+        state_.reject(asked_.request, what, why, delivered_);
+    }
+    finish(what, std::move(why));
+}
+
+void generation::finish(outcome what, std::optional<error> why)
+{
+    finished_ = true;
+    if (!resumed_)
+    {
+        // What ran is paid for, also when it was in vain; what did not run costs nothing.
+        const bool ran = what == outcome::completed || what == outcome::failed;
+        state_.limits.settle(charge_, ran ? work_.prompt_tokens + cursor_.next() : 0, state_.now);
+    }
+    request_finished end;
+    end.work_class = asked_.work_class;
+    end.customer = asked_.customer;
+    end.what = what;
+    if (why)
+    {
+        end.why = why->kind;
+    }
+    state_.emit(end);
+}
+
+void generation::add_timer(timer_kind what, duration wait, std::uint64_t step)
+{
+    state_.timers.add(state_.now + wait, core_timer{what, asked_.request, step});
+}
+
+std::string generation::continuation() const
+{
+    continuation_token token;
+    token.instance = state_.self().instance;
+    token.started = state_.self().started;
+    token.endpoint = endpoint_;
+    token.endpoint_address = address_;
+    token.service = asked_.service;
+    token.attempt = attempt_;
+    token.generation = name_;
+    token.customer = asked_.customer;
+    token.work_class = asked_.work_class;
+    token.highest = state_.configuration.highest();
+    token.expires = state_.now + state_.settings.requests.continuation_lifetime;
+    token.how = asked_.how;
+    const auto text = state_.tokens.encode(token);
+    return text.has_value() ? text.value() : std::string{};
+}
+
+std::int64_t generation::expected_memory() const
+{
+    return work_.prompt_tokens +
+           state_.lengths.total(asked_.work_class, asked_.customer, local_reserve_quantile, 0, work_.max_tokens);
+}
+
+} // namespace parsleyshift::detail
