--- a/libs/routing/include/parsleyshift/routing/endpoint_chooser.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_chooser.hpp
@@ -114,7 +114,8 @@
 class basic_endpoint_chooser
 {
   public:
-    explicit basic_endpoint_chooser(const chooser_policy& policy = {}, Score... scores)
+    explicit basic_endpoint_chooser(const chooser_policy& policy = {}) : policy_(policy) {}
+    basic_endpoint_chooser(const chooser_policy& policy, Score... scores) requires(sizeof...(Score) > 0)
         : policy_(policy), scores_(std::move(scores)...)
     {
     }
--- /dev/null
+++ b/libs/routing/tests/endpoint_health_test.cpp
@@ -0,0 +1,248 @@
+#include <parsleyshift/test_support/property.hpp> // check_property
+
+#include <parsleyshift/core/random_source.hpp>      // random_source
+#include <parsleyshift/routing/endpoint_health.hpp> // endpoint_health
+
+#include <string> // to_string
+
+using namespace parsleyshift;
+using namespace parsleyshift::literals;
+
+namespace
+{
+
+const pool_id pool{"narrator/alfold"};
+
+endpoint_id engine(std::size_t index)
+{
+    return endpoint_id{"engine-" + std::to_string(index)};
+}
+
+/// A pool in which each endpoint runs one stream, with gaps of 40 to 80 ms times its slowness.
+class streaming_pool
+{
+  public:
+    explicit streaming_pool(std::size_t size, std::uint64_t seed = 1)
+        : slowness(size, 1.0), last_token_(size, at_ms(0)), next_token_(size, at_ms(0)), random_(seed)
+    {
+        for (std::size_t index = 0; index < size; ++index)
+        {
+            health.add(engine(index), pool);
+        }
+    }
+
+    /// Ejected endpoints get no stream, as a chooser would see to it.
+    void run(duration length)
+    {
+        const time_point end = now + length;
+        for (; now < end; now += 1_ms)
+        {
+            for (std::size_t index = 0; index < slowness.size(); ++index)
+            {
+                step(index);
+            }
+            if (now >= health.next_evaluation())
+            {
+                health.evaluate(now);
+            }
+        }
+    }
+
+    std::size_t ejected() const
+    {
+        std::size_t count = 0;
+        for (std::size_t index = 0; index < slowness.size(); ++index)
+        {
+            count += health.state(engine(index)) == health_state::ejected ? 1 : 0;
+        }
+        return count;
+    }
+
+    endpoint_health health;
+    std::vector<double> slowness;
+    time_point now = at_ms(0);
+
+  private:
+    void step(std::size_t index)
+    {
+        if (health.state(engine(index)) == health_state::ejected)
+        {
+            last_token_[index] = now;
+            next_token_[index] = now + gap(index);
+            return;
+        }
+        const duration open = now - last_token_[index];
+        if (now >= next_token_[index])
+        {
+            health.token_gap(engine(index), open, now);
+            last_token_[index] = now;
+            next_token_[index] = now + gap(index);
+            return;
+        }
+        if (open.count() > 0 && open.count() % 100 == 0)
+        {
+            health.silent(engine(index), open, now);
+        }
+    }
+    duration gap(std::size_t index)
+    {
+        return duration{static_cast<duration::rep>((40.0 + 40.0 * random_.fraction()) * slowness[index])};
+    }
+
+    std::vector<time_point> last_token_;
+    std::vector<time_point> next_token_;
+    random_source random_;
+};
+
+} // namespace
+
+TEST_GROUP(endpoint_health){};
+
+// Guards against slowness that is noticed only when load reports show it. The target is detection within two seconds
+// of an endpoint that becomes five times slower, and within one second of one that stops.
+TEST(endpoint_health, a_slow_endpoint_is_ejected_within_two_seconds)
+{
+    streaming_pool streams{12};
+    streams.run(10_s);
+    LONGS_EQUAL(0, streams.ejected());
+    streams.slowness[4] = 5.0;
+    streams.run(2_s);
+    LONGS_EQUAL(1, streams.ejected());
+    DOUBLES_EQUAL(0.0, streams.health.weight(engine(4), streams.now), 0);
+}
+
+TEST(endpoint_health, a_silent_endpoint_is_ejected_within_a_second)
+{
+    streaming_pool streams{12};
+    streams.run(10_s);
+    streams.slowness[4] = 1'000'000.0;
+    streams.run(1'100_ms);
+    CHECK(streams.health.state(engine(4)) == health_state::ejected);
+}
+
+// Guards against ejections of endpoints that are not slow, which move load to the others and can cascade.
+TEST(endpoint_health, even_endpoints_are_not_ejected)
+{
+    test_support::check_property("noise alone ejects nobody",
+                                 [](std::uint64_t seed)
+                                 {
+                                     random_source random{seed};
+                                     streaming_pool streams{2 + random.index(10), seed};
+                                     // All equally slow: the reference is the pool itself.
+                                     streams.slowness.assign(streams.slowness.size(), 1.0 + 9.0 * random.fraction());
+                                     streams.run(5_s);
+                                     RC_ASSERT(streams.ejected() == 0);
+                                 });
+}
+
+// Guards against an ejection of so many endpoints that the others are overloaded, however many are slow or failing.
+TEST(endpoint_health, the_ceiling_holds)
+{
+    test_support::check_property("at most a third is out of service, or one of two, and never the last",
+                                 [](std::uint64_t seed)
+                                 {
+                                     random_source random{seed};
+                                     streaming_pool streams{1 + random.index(12), seed};
+                                     const std::size_t size = streams.slowness.size();
+                                     for (int round = 0; round < 20; ++round)
+                                     {
+                                         streams.slowness[random.index(size)] = random.index(2) == 0 ? 1.0 : 20.0;
+                                         const std::size_t failing = random.index(size);
+                                         for (int failure = 0; failure < 3; ++failure)
+                                         {
+                                             streams.health.failed(engine(failing), streams.now);
+                                         }
+                                         streams.run(300_ms);
+                                         const std::size_t most = size < 2 ? 0 : std::max<std::size_t>(1, size / 3);
+                                         RC_ASSERT(streams.ejected() <= most);
+                                     }
+                                 });
+}
+
+// Guards against an endpoint that stays out for ever, and against one that gets full traffic at once after it recovers.
+TEST(endpoint_health, a_recovered_endpoint_returns_slowly)
+{
+    streaming_pool streams{6};
+    streams.slowness[0] = 10.0;
+    streams.run(2_s);
+    CHECK(streams.health.state(engine(0)) == health_state::ejected);
+    streams.slowness[0] = 1.0;
+    double last = 0.0;
+    double largest_rise = 0.0;
+    for (int step = 0; step < 200; ++step)
+    {
+        streams.run(100_ms);
+        const double weight = streams.health.weight(engine(0), streams.now);
+        largest_rise = std::max(largest_rise, weight - last);
+        last = weight;
+    }
+    CHECK(streams.health.state(engine(0)) == health_state::healthy);
+    CHECK(last > 0.75);
+    CHECK(largest_rise < 0.3);
+}
+
+// Guards against an endpoint that is still slow and gets probes as often as after its first ejection.
+TEST(endpoint_health, repeated_ejections_get_longer)
+{
+    streaming_pool streams{6};
+    streams.slowness[0] = 10.0;
+    streams.run(3_s);
+    int probing = 0;
+    for (int step = 0; step < 600; ++step)
+    {
+        streams.run(100_ms);
+        CHECK(streams.health.state(engine(0)) != health_state::healthy);
+        probing += streams.health.state(engine(0)) == health_state::probing ? 1 : 0;
+    }
+    CHECK(probing > 0);
+    CHECK(probing < 60);
+}
+
+// Guards against a dead endpoint that answers with fast failures and so attracts work.
+TEST(endpoint_health, failures_in_a_row_eject)
+{
+    endpoint_health health;
+    for (std::size_t index = 0; index < 3; ++index)
+    {
+        health.add(engine(index), pool);
+    }
+    health.failed(engine(0), at_ms(1));
+    health.failed(engine(0), at_ms(2));
+    health.succeeded(engine(0));
+    health.failed(engine(0), at_ms(3));
+    CHECK(health.evaluate(at_ms(200)).empty());
+    health.failed(engine(0), at_ms(201));
+    health.failed(engine(0), at_ms(202));
+    CHECK(health.next_evaluation() <= at_ms(302));
+    const std::vector<health_change> changes = health.evaluate(at_ms(302));
+    LONGS_EQUAL(1, changes.size());
+    CHECK(changes[0].state == health_state::ejected);
+    // A failure while probing ejects again, for longer.
+    health.evaluate(at_ms(2'400));
+    CHECK(health.state(engine(0)) == health_state::probing);
+    health.failed(engine(0), at_ms(2'450));
+    health.evaluate(at_ms(2'500));
+    health.evaluate(at_ms(6'400));
+    CHECK(health.state(engine(0)) == health_state::ejected);
+    health.forget(engine(0));
+    DOUBLES_EQUAL(1.0, health.weight(engine(0), at_ms(6'400)), 0);
+}
+
+// Guards against rare short answers that never count because token gaps are forgotten within a second.
+TEST(endpoint_health, slow_answers_of_a_plain_service_are_noticed)
+{
+    endpoint_health health;
+    for (std::size_t index = 0; index < 3; ++index)
+    {
+        health.add(engine(index), pool);
+    }
+    for (time_point now = at_ms(0); now < at_ms(10'000); now += 1_s)
+    {
+        health.first_token(engine(0), 20_ms, now);
+        health.first_token(engine(1), 25_ms, now);
+        health.first_token(engine(2), 200_ms, now);
+        health.evaluate(now + 500_ms);
+    }
+    CHECK(health.state(engine(2)) != health_state::healthy);
+    CHECK(health.state(engine(0)) == health_state::healthy);
+}
