--- /dev/null
+++ b/libs/client/include/parsleyshift/client/http_connection.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <parsleyshift/core/clock.hpp> // duration
+#include <parsleyshift/core/error.hpp> // result
+
+#include <cstddef>     // size_t
+#include <functional>  // function
+#include <memory>      // unique_ptr
+#include <string>      // string
+#include <string_view> // string_view
+
+namespace parsleyshift
+{
+
+/// @brief One HTTP request of a client.
+struct http_call
+{
+    std::string method = "GET";
+    /// Path and query, already escaped.
+    std::string target;
+    std::string body;
+    /// Sent as a bearer token in the Authorization header; empty: no such header.
+    std::string bearer;
+};
+
+/// @brief Answer with its whole body.
+struct http_answer
+{
+    int status = 0;
+    std::string body;
+};
+
+/// @brief Receives pieces of a body as they arrive; false ends the call and closes the connection.
+using body_sink = std::function<bool(std::string_view piece)>;
+
+/// @brief Blocking HTTP/1.1 client for one address that keeps its connection open between calls.
+///
+/// Every step has a time limit. Errors: error_kind::no_endpoint when no byte was sent, since no connection could be
+/// made; error_kind::link_broken when the connection broke or stalled after that, so that the call may have run.
+class http_connection
+{
+  public:
+    /// Bytes of a body that call() accepts.
+    static constexpr std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
+
+    /// @param address "ip:port"
+    /// @param stall longest time without any progress of a connect, a write or a read
+    http_connection(std::string address, duration stall);
+    ~http_connection();
+    http_connection(http_connection&&) noexcept;
+    http_connection& operator=(http_connection&&) noexcept;
+    http_connection(const http_connection&) = delete;
+    http_connection& operator=(const http_connection&) = delete;
+
+    /// @brief Sends a request and reads the whole answer.
+    result<http_answer> call(const http_call& request);
+    /// @brief Sends a request and hands over the body of an answer with status 200 as it arrives.
+    /// @return the status; the body is set only for a status other than 200
+    result<http_answer> stream(const http_call& request, const body_sink& sink);
+
+    [[nodiscard]] const std::string& address() const noexcept;
+
+  private:
+    class implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+/// @brief Escapes a text for use in a query or path segment (RFC 3986). Linear.
+std::string url_escape(std::string_view text);
+
+} // namespace parsleyshift
--- /dev/null
+++ b/libs/client/src/http_connection.cpp
@@ -0,0 +1,226 @@
+#include <parsleyshift/client/http_connection.hpp> // http_connection
+
+#include <boost/asio/io_context.hpp>        // io_context
+#include <boost/asio/ip/tcp.hpp>            // tcp
+#include <boost/beast/core/flat_buffer.hpp> // flat_buffer
+#include <boost/beast/core/tcp_stream.hpp>  // tcp_stream
+#include <boost/beast/http.hpp>             // request, response_parser, string_body
+
+#include <array>    // array
+#include <charconv> // from_chars
+#include <chrono>   // milliseconds
+#include <cstdint>  // uint64_t
+#include <limits>   // numeric_limits
+#include <optional> // optional
+#include <string>   // string
+#include <utility>  // move
+
+namespace parsleyshift
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+class http_connection::implementation
+{
+  public:
+    implementation(std::string address, duration stall) : address_(std::move(address)), stall_(stall.count()) {}
+
+    [[nodiscard]] const std::string& address() const noexcept
+    {
+        return address_;
+    }
+
+    result<http_answer> run(const http_call& call, const body_sink* sink)
+    {
+        const auto request = to_request(call);
+        const bool reused = stream_.has_value();
+        auto answer = attempt(request, sink);
+        // The server may close an idle connection at any time; a request that can be repeated is sent once more.
+        if (!answer && reused && call.method == "GET" && !received_)
+        {
+            answer = attempt(request, sink);
+        }
+        return answer;
+    }
+
+  private:
+    using request_type = http::request<http::string_body>;
+
+    [[nodiscard]] request_type to_request(const http_call& call) const
+    {
+        request_type request{http::string_to_verb(call.method), call.target, 11};
+        request.set(http::field::host, address_);
+        if (!call.bearer.empty())
+        {
+            request.set(http::field::authorization, "Bearer " + call.bearer);
+        }
+        if (!call.body.empty())
+        {
+            request.set(http::field::content_type, "application/json");
+        }
+        request.body() = call.body;
+        request.prepare_payload();
+        return request;
+    }
+    result<http_answer> attempt(const request_type& request, const body_sink* sink)
+    {
+        received_ = false;
+        if (const error_code failed = connect())
+        {
+            stream_.reset();
+            return make_error(error_kind::no_endpoint, address_ + ": " + failed.message());
+        }
+        auto answer = exchange(request, sink);
+        if (!answer)
+        {
+            stream_.reset();
+        }
+        return answer;
+    }
+    result<http_answer> exchange(const request_type& request, const body_sink* sink)
+    {
+        if (const error_code failed = wait([&](auto done) { http::async_write(*stream_, request, std::move(done)); }))
+        {
+            return broken(failed);
+        }
+        http::response_parser<http::buffer_body> parser;
+        parser.body_limit(sink == nullptr ? max_body_bytes : std::numeric_limits<std::uint64_t>::max());
+        if (const error_code failed =
+                wait([&](auto done) { http::async_read_header(*stream_, buffer_, parser, std::move(done)); }))
+        {
+            return broken(failed);
+        }
+        received_ = true;
+        return read_body(parser, sink);
+    }
+    result<http_answer> read_body(http::response_parser<http::buffer_body>& parser, const body_sink* sink)
+    {
+        http_answer answer;
+        answer.status = static_cast<int>(parser.get().result_int());
+        const bool streamed = sink != nullptr && answer.status == 200;
+        std::array<char, 16 * 1024> piece{};
+        while (!parser.is_done())
+        {
+            parser.get().body().data = piece.data();
+            parser.get().body().size = piece.size();
+            error_code failed =
+                wait([&](auto done) { http::async_read_some(*stream_, buffer_, parser, std::move(done)); });
+            if (failed && failed != http::error::need_buffer)
+            {
+                return broken(failed);
+            }
+            const std::string_view arrived{piece.data(), piece.size() - parser.get().body().size};
+            if (!streamed)
+            {
+                answer.body += arrived;
+            }
+            else if (!arrived.empty() && !(*sink)(arrived))
+            {
+                stream_.reset();
+                return answer;
+            }
+        }
+        if (!parser.keep_alive())
+        {
+            stream_.reset();
+        }
+        return answer;
+    }
+    error_code connect()
+    {
+        if (stream_.has_value())
+        {
+            return {};
+        }
+        const std::size_t colon = address_.rfind(':');
+        error_code failed;
+        const auto ip = asio::ip::make_address(address_.substr(0, colon), failed);
+        unsigned short port = 0;
+        if (colon != std::string::npos)
+        {
+            std::from_chars(address_.data() + colon + 1, address_.data() + address_.size(), port);
+        }
+        if (failed || port == 0)
+        {
+            return asio::error::make_error_code(asio::error::invalid_argument);
+        }
+        buffer_.clear();
+        stream_.emplace(context_);
+        failed = wait([&](auto done) { stream_->async_connect({ip, port}, std::move(done)); });
+        if (!failed)
+        {
+            stream_->socket().set_option(asio::ip::tcp::no_delay{true}, failed);
+        }
+        return failed;
+    }
+    /// Runs one asynchronous step to its end, at most for the time limit.
+    template <class Start>
+    error_code wait(Start start)
+    {
+        error_code outcome;
+        stream_->expires_after(stall_);
+        start([&outcome](error_code failed, auto...) { outcome = failed; });
+        context_.restart();
+        context_.run();
+        return outcome;
+    }
+    [[nodiscard]] error broken(const error_code& cause) const
+    {
+        return make_error(error_kind::link_broken, address_ + ": " + cause.message());
+    }
+
+    std::string address_;
+    std::chrono::milliseconds stall_;
+    bool received_ = false;
+    asio::io_context context_;
+    std::optional<beast::tcp_stream> stream_;
+    beast::flat_buffer buffer_;
+};
+
+http_connection::http_connection(std::string address, duration stall)
+    : implementation_(std::make_unique<implementation>(std::move(address), stall))
+{
+}
+http_connection::~http_connection() = default;
+http_connection::http_connection(http_connection&&) noexcept = default;
+http_connection& http_connection::operator=(http_connection&&) noexcept = default;
+
+result<http_answer> http_connection::call(const http_call& request)
+{
+    return implementation_->run(request, nullptr);
+}
+
+result<http_answer> http_connection::stream(const http_call& request, const body_sink& sink)
+{
+    return implementation_->run(request, &sink);
+}
+
+const std::string& http_connection::address() const noexcept
+{
+    return implementation_->address();
+}
+
+std::string url_escape(std::string_view text)
+{
+    constexpr std::string_view unreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string escaped;
+    for (const char each : text)
+    {
+        if (unreserved.find(each) != std::string_view::npos)
+        {
+            escaped += each;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(each);
+        escaped += '%';
+        escaped += digits[byte >> 4U];
+        escaped += digits[byte & 15U];
+    }
+    return escaped;
+}
+
+} // namespace parsleyshift
--- a/libs/records/include/parsleyshift/records/json_text.hpp
+++ b/libs/records/include/parsleyshift/records/json_text.hpp
@@ -14,7 +14,7 @@
 struct json_bounds
 {
     /// The configuration service holds values of at most 1 MB.
-    std::size_t max_bytes = 1024 * 1024;
+    std::size_t max_bytes = std::size_t{1024} * 1024;
     /// Nested objects and arrays, the outermost included.
     int max_depth = 32;
 };
--- a/libs/records/include/parsleyshift/records/json_value.hpp
+++ b/libs/records/include/parsleyshift/records/json_value.hpp
@@ -39,7 +39,7 @@
 struct field_rule
 {
     /// Meaning and unit, for the schema and the documentation.
-    std::string_view about = "";
+    std::string_view about;
     bool required = false;
     /// Inclusive bounds of a number, in the field's unit.
     std::optional<double> minimum = std::nullopt;
--- a/libs/records/include/parsleyshift/records/settings.hpp
+++ b/libs/records/include/parsleyshift/records/settings.hpp
@@ -36,11 +36,11 @@
 /// @brief Bounds on what one caller can hold.
 struct caller_bounds
 {
-    std::size_t max_header_bytes = 16 * 1024;
-    std::size_t max_body_bytes = 4 * 1024 * 1024;
+    std::size_t max_header_bytes = std::size_t{16} * 1024;
+    std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
     int max_json_depth = 32;
     /// Bytes of unsent answer at which reading from the endpoint pauses.
-    std::size_t max_backlog_bytes = 64 * 1024;
+    std::size_t max_backlog_bytes = std::size_t{64} * 1024;
     int max_connections = 20'000;
     /// Time for a whole request to arrive.
     duration request_timeout{10'000};
