--- a/libs/messages/include/parsleyshift/messages/action.hpp
+++ b/libs/messages/include/parsleyshift/messages/action.hpp
@@ -236,6 +236,10 @@
     stop_began,
     stop_finished,
     request_failed,
+    /// The daemon listens on its addresses.
+    instance_started,
+    /// Input from outside was malformed or exceeded a bound.
+    input_rejected,
 };
 
 template <>
@@ -252,7 +256,9 @@
                                      enum_name<log_event>{log_event::placement_ordered, "placement_ordered"},
                                      enum_name<log_event>{log_event::stop_began, "stop_began"},
                                      enum_name<log_event>{log_event::stop_finished, "stop_finished"},
-                                     enum_name<log_event>{log_event::request_failed, "request_failed"}};
+                                     enum_name<log_event>{log_event::request_failed, "request_failed"},
+                                     enum_name<log_event>{log_event::instance_started, "instance_started"},
+                                     enum_name<log_event>{log_event::input_rejected, "input_rejected"}};
 };
 
 /// One line for the structured log.
--- a/libs/wire/src/endpoint_codec.cpp
+++ b/libs/wire/src/endpoint_codec.cpp
@@ -21,7 +21,7 @@
 using nlohmann::json;
 
 // Reports are a few hundred bytes; the bound leaves room for long model lists.
-constexpr body_bounds report_bounds{64 * 1024, 8};
+constexpr body_bounds report_bounds{std::size_t{64} * 1024, 8};
 constexpr std::int64_t any_count = INT64_MAX;
 constexpr std::size_t max_message_bytes = 1024;
 
--- a/libs/wire/src/field_reader.cpp
+++ b/libs/wire/src/field_reader.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 constexpr std::size_t max_name_bytes = 256;
-constexpr std::int64_t max_timeout_ms = 24 * 60 * 60 * 1000;
+constexpr std::int64_t max_timeout_ms = 86'400'000;
 } // namespace
 
 field_reader::field_reader(const nlohmann::json& object, std::string place) : object_(object), place_(std::move(place))
