--- /dev/null
+++ b/libs/runtime/src/caller_route.cpp
@@ -0,0 +1,246 @@
+#include "caller_route.hpp" // route_call
+
+#include "sha256.hpp" // equal_in_constant_time
+
+#include <parsleyshift/wire/caller_codec.hpp> // parse_generation
+
+#include <boost/url/parse.hpp>    // parse_origin_form
+#include <boost/url/src.hpp>      // Boost.URL is compiled into this file
+#include <boost/url/url_view.hpp> // url_view
+
+#include <charconv> // from_chars
+#include <optional> // optional
+#include <utility>  // move
+#include <vector>   // vector
+
+namespace parsleyshift
+{
+
+namespace
+{
+
+using boost::beast::http::verb;
+using boost::urls::url_view;
+
+/// The decoded path and the query of a target.
+struct parsed_target
+{
+    std::vector<std::string> path;
+    url_view query;
+
+    [[nodiscard]] std::string parameter(std::string_view name) const
+    {
+        for (const auto& each : query.params())
+        {
+            if (each.key == name)
+            {
+                return each.value;
+            }
+        }
+        return {};
+    }
+};
+
+error not_found(const caller_message& message)
+{
+    return make_error(error_kind::not_found, "path: no call " + std::string(to_string(message.method)) + " " +
+                                                 std::string(message.target.substr(0, 128)));
+}
+
+result<parsed_target> parse_target(std::string_view target)
+{
+    const auto parsed = boost::urls::parse_origin_form({target.data(), target.size()});
+    if (parsed.has_error())
+    {
+        return make_error(error_kind::malformed_request, "path: not a valid request target");
+    }
+    parsed_target out{{}, *parsed};
+    for (const auto& segment : out.query.segments())
+    {
+        out.path.emplace_back(segment);
+    }
+    return out;
+}
+
+template <class Request>
+result<caller_call> as_call(result<Request> parsed)
+{
+    if (parsed.has_error())
+    {
+        return std::move(parsed.error());
+    }
+    return caller_call{event{std::move(parsed.value())}};
+}
+
+result<caller_call> required_name(std::string_view name, const std::string& value, event what)
+{
+    if (value.empty() || value.size() > 256)
+    {
+        return make_error(error_kind::invalid_field, std::string(name) + ": must be a name of 1 to 256 characters");
+    }
+    return caller_call{std::move(what)};
+}
+
+result<caller_call> entry_call(const parsed_target& target)
+{
+    entry_query query;
+    const std::string customer = target.parameter("customer");
+    query.customer = customer_id{customer};
+    query.availability_zone = zone_id{target.parameter("zone")};
+    return required_name("customer", customer, std::move(query));
+}
+
+result<caller_call> resume_call(const parsed_target& target)
+{
+    resume_request request;
+    request.continuation = target.path[2];
+    const std::string offset = target.parameter("offset");
+    if (!offset.empty())
+    {
+        const char* end = offset.data() + offset.size();
+        const auto number = std::from_chars(offset.data(), end, request.offset);
+        if (number.ec != std::errc{} || number.ptr != end || request.offset < 0)
+        {
+            return make_error(error_kind::invalid_field, "offset: must be a whole number that is not negative");
+        }
+    }
+    return caller_call{event{std::move(request)}};
+}
+
+std::optional<operator_query> operator_view_of(const caller_message& message, const parsed_target& target)
+{
+    if (message.method != verb::get || target.path.size() != 2)
+    {
+        return std::nullopt;
+    }
+    const auto view = value_of<operator_view>(target.path[1]);
+    if (!view)
+    {
+        return std::nullopt;
+    }
+    operator_query query;
+    query.what = *view;
+    query.customer = customer_id{target.parameter("customer")};
+    query.service = service_id{target.parameter("service")};
+    return query;
+}
+
+/// The call if it is one of the operators', before the key is checked.
+std::optional<caller_call> operator_call(const caller_message& message, const parsed_target& target)
+{
+    if (message.method == verb::get && target.path.size() == 1 && target.path[0] == "metrics")
+    {
+        return local_call::metrics;
+    }
+    if (message.method == verb::post && target.path.size() == 2 && target.path[1] == "stop")
+    {
+        return local_call::stop;
+    }
+    if (auto query = operator_view_of(message, target))
+    {
+        return caller_call{event{std::move(*query)}};
+    }
+    return std::nullopt;
+}
+
+result<caller_call> post_call(const caller_message& message, const parsed_target& target, const call_context& context)
+{
+    const auto& path = target.path;
+    if (path.size() == 2 && path[1] == "generations")
+    {
+        return as_call(parse_generation(message.body, context.bounds));
+    }
+    if (path.size() == 2 && path[1] == "calls")
+    {
+        return as_call(parse_call(message.body, context.bounds));
+    }
+    if (path.size() == 2 && path[1] == "orders")
+    {
+        return as_call(parse_order(message.body, context.bounds));
+    }
+    if (path.size() == 3 && path[1] == "orders" && path[2] == "keys")
+    {
+        return as_call(parse_key_request(message.body, context.bounds));
+    }
+    return not_found(message);
+}
+
+result<caller_call> get_call(const caller_message& message, const parsed_target& target)
+{
+    const auto& path = target.path;
+    if (path.size() == 2 && path[1] == "entry")
+    {
+        return entry_call(target);
+    }
+    if (path.size() == 3 && path[1] == "generations")
+    {
+        return resume_call(target);
+    }
+    if (path.size() == 3 && path[1] == "orders")
+    {
+        order_query query;
+        query.key = path[2];
+        return caller_call{event{std::move(query)}};
+    }
+    return not_found(message);
+}
+
+} // namespace
+
+result<caller_call> route_call(const caller_message& message, const call_context& context)
+{
+    BOOST_OUTCOME_TRY(const parsed_target target, parse_target(message.target));
+    if (auto operators = operator_call(message, target))
+    {
+        if (context.operator_sha256.empty() ||
+            !equal_in_constant_time(message.key_sha256, context.operator_sha256))
+        {
+            return make_error(error_kind::unauthenticated, "Authorization: the operators' key is required");
+        }
+        return std::move(*operators);
+    }
+    if (target.path.empty() || target.path[0] != "v1")
+    {
+        return not_found(message);
+    }
+    if (message.method == verb::post)
+    {
+        return post_call(message, target, context);
+    }
+    if (message.method == verb::get)
+    {
+        return get_call(message, target);
+    }
+    if (message.method == verb::delete_ && target.path.size() == 3 && target.path[1] == "generations")
+    {
+        cancel_request request;
+        request.continuation = target.path[2];
+        return caller_call{event{std::move(request)}};
+    }
+    return not_found(message);
+}
+
+void set_request(event& what, request_id request)
+{
+    std::visit(
+        [request](auto& each)
+        {
+            if constexpr (requires { each.request = request; })
+            {
+                each.request = request;
+            }
+        },
+        what);
+}
+
+std::string_view presented_key(std::string_view authorization) noexcept
+{
+    constexpr std::string_view scheme = "Bearer ";
+    if (authorization.substr(0, scheme.size()) == scheme)
+    {
+        authorization.remove_prefix(scheme.size());
+    }
+    return authorization;
+}
+
+} // namespace parsleyshift
--- /dev/null
+++ b/libs/runtime/src/event_log.cpp
@@ -0,0 +1,94 @@
+#include <parsleyshift/runtime/event_log.hpp> // event_log
+
+#include <parsleyshift/core/clock.hpp>       // millisecond_clock
+#include <parsleyshift/wire/json_string.hpp> // append_json_string
+
+#include <spdlog/async.h>                     // async_logger, thread_pool
+#include <spdlog/sinks/stdout_sinks.h>        // stderr_sink_mt
+
+namespace parsleyshift
+{
+
+namespace
+{
+
+constexpr std::size_t queued_lines = 8192;
+
+std::string json_line(log_level level, log_event what, std::string_view detail, request_id request,
+                      const instance_id& instance)
+{
+    std::string line = "{\"time_ms\":" + std::to_string(to_ms(millisecond_clock::now())) + ",\"level\":";
+    append_json_string(line, name_of(level));
+    line += ",\"event\":";
+    append_json_string(line, name_of(what));
+    line += ",\"instance\":";
+    append_json_string(line, instance.value());
+    if (request != request_id{})
+    {
+        line += ",\"request\":" + std::to_string(request.value());
+    }
+    line += ",\"detail\":";
+    append_json_string(line, detail);
+    line += '}';
+    return line;
+}
+
+std::string text_line(log_level level, log_event what, std::string_view detail, request_id request,
+                      const instance_id& instance)
+{
+    std::string line = std::to_string(to_ms(millisecond_clock::now())) + ' ';
+    line += name_of(level);
+    line += ' ';
+    line += name_of(what);
+    line += " instance=" + instance.value();
+    if (request != request_id{})
+    {
+        line += " request=" + std::to_string(request.value());
+    }
+    line += ' ';
+    for (const char byte : detail)
+    {
+        // Text from outside must not start a line of its own.
+        line += static_cast<unsigned char>(byte) < 0x20 ? ' ' : byte;
+    }
+    return line;
+}
+
+} // namespace
+
+event_log::event_log(log_format format, std::string_view least, instance_id instance) :
+    format_(format), least_(value_of<log_level>(least).value_or(log_level::info)), instance_(std::move(instance)),
+    pool_(std::make_shared<spdlog::details::thread_pool>(queued_lines, 1))
+{
+    auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    logger_ = std::make_shared<spdlog::async_logger>("parsleyshift", sink, pool_,
+                                                     spdlog::async_overflow_policy::overrun_oldest);
+    logger_->set_pattern("%v");
+    logger_->set_level(spdlog::level::trace);
+}
+
+event_log::~event_log()
+{
+    logger_->flush();
+}
+
+void event_log::write(log_level level, log_event what, std::string_view detail, request_id request)
+{
+    if (writes(level))
+    {
+        logger_->info(line(level, what, detail, request));
+    }
+}
+
+bool event_log::writes(log_level level) const noexcept
+{
+    return level >= least_;
+}
+
+std::string event_log::line(log_level level, log_event what, std::string_view detail, request_id request) const
+{
+    return format_ == log_format::json ? json_line(level, what, detail, request, instance_)
+                                       : text_line(level, what, detail, request, instance_);
+}
+
+} // namespace parsleyshift
--- /dev/null
+++ b/libs/runtime/src/net.cpp
@@ -0,0 +1,61 @@
+#include "net.hpp" // parse_address, listen_on
+
+#include <boost/asio/ip/address.hpp> // make_address
+
+#include <charconv> // from_chars
+#include <string>   // string
+
+namespace parsleyshift
+{
+
+result<asio::ip::tcp::endpoint> parse_address(std::string_view address, std::string_view what)
+{
+    const auto wrong = [&]
+    {
+        return make_error(error_kind::invalid_field,
+                          std::string(what) + ": \"" + std::string(address.substr(0, 64)) + "\" is not \"ip:port\"");
+    };
+    const auto colon = address.rfind(':');
+    if (colon == std::string_view::npos)
+    {
+        return wrong();
+    }
+    std::uint16_t port = 0;
+    const char* end = address.data() + address.size();
+    const auto number = std::from_chars(address.data() + colon + 1, end, port);
+    if (number.ec != std::errc{} || number.ptr != end)
+    {
+        return wrong();
+    }
+    boost::system::error_code ec;
+    const auto ip = asio::ip::make_address(std::string(address.substr(0, colon)), ec);
+    if (ec)
+    {
+        return wrong();
+    }
+    return asio::ip::tcp::endpoint{ip, port};
+}
+
+result<void> listen_on(tcp_acceptor& acceptor, std::string_view address, std::string_view what)
+{
+    BOOST_OUTCOME_TRY(const asio::ip::tcp::endpoint endpoint, parse_address(address, what));
+    boost::system::error_code ec;
+    acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+    {
+        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+        acceptor.bind(endpoint, ec);
+    }
+    if (!ec)
+    {
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec)
+    {
+        return make_error(error_kind::invalid_field,
+                          std::string(what) + ": cannot listen on " + std::string(address) + ": " + ec.message());
+    }
+    return boost::outcome_v2::success();
+}
+
+} // namespace parsleyshift
