--- a/libs/decision_core/src/call_manager.cpp
+++ b/libs/decision_core/src/call_manager.cpp
@@ -110,15 +110,15 @@
     active.tracker.attempt_sent();
     state_.ledger.started(*chosen, 0, state_.now);
     state_.quarantine.started(attempt, active.print, *chosen);
-    start_call call;
-    call.attempt = attempt;
-    call.endpoint = *chosen;
-    call.address = entry->address;
-    call.operation = active.asked.operation;
-    call.payload = active.asked.payload;
-    call.not_after = active.deadline;
-    call.answer_by = active.deadline;
-    state_.emit(std::move(call));
+    start_call request;
+    request.attempt = attempt;
+    request.endpoint = *chosen;
+    request.address = entry->address;
+    request.operation = active.asked.operation;
+    request.payload = active.asked.payload;
+    request.not_after = active.deadline;
+    request.answer_by = active.deadline;
+    state_.emit(std::move(request));
     return true;
 }
 
--- a/libs/decision_core/src/generation.cpp
+++ b/libs/decision_core/src/generation.cpp
@@ -1,5 +1,7 @@
 #include "generation.hpp" // generation
 
+#include <parsleyshift/streams/generation_machine.hpp> // generation_machine
+
 #include <algorithm> // min, max
 #include <utility>   // move
 
@@ -20,6 +22,15 @@
 
 } // namespace
 
+struct generation::machine
+{
+    explicit machine(generation* owner) : states(owner) {}
+
+    generation_machine<generation> states;
+};
+
+generation::~generation() = default;
+
 generation::generation(core_state& state, pool_manager& pools, generation_request asked, work_description work,
                        limit_charge charge, fingerprint print)
     : state_(state),
@@ -29,7 +40,7 @@
       charge_(std::move(charge)),
       print_(print),
       name_(generation_name(state.self(), asked_.request)),
-      machine_(this),
+      machine_(std::make_unique<machine>(this)),
       arrived_(state.now),
       deadline_(work_.start_by)
 {
@@ -40,7 +51,7 @@
     : state_(state),
       pools_(pools),
       name_(token.generation),
-      machine_(this),
+      machine_(std::make_unique<machine>(this)),
       cursor_(resume.offset),
       attempt_(token.attempt),
       endpoint_(token.endpoint),
@@ -59,7 +70,7 @@
 
 void generation::begin()
 {
-    machine_.start();
+    machine_->states.start();
     if (!resumed_)
     {
         add_timer(timer_kind::request_timeout, deadline_ - state_.now, 0);
@@ -69,7 +80,7 @@
     tracker_.attempt_ran();
     permit_grant existing;
     existing.endpoint = endpoint_;
-    machine_.process_event(generation_events::permitted{existing});
+    machine_->states.process_event(generation_events::permitted{existing});
 }
 
 void generation::ask_for_permit()
@@ -165,13 +176,13 @@
     waiting_for_permit_ = false;
     permit_ = grant;
     permit_from_scheduler_ = from_scheduler;
-    machine_.process_event(generation_events::permitted{grant});
+    machine_->states.process_event(generation_events::permitted{grant});
 }
 
 void generation::denied(const error& why)
 {
     waiting_for_permit_ = false;
-    machine_.process_event(generation_events::denied{why});
+    machine_->states.process_event(generation_events::denied{why});
 }
 
 void generation::start_attempt(const permit_grant& grant)
@@ -220,7 +231,7 @@
     switch (cursor_.accept(offset, batch))
     {
     case token_arrival::next:
-        machine_.process_event(generation_events::tokens{batch});
+        machine_->states.process_event(generation_events::tokens{batch});
         break;
     case token_arrival::duplicate:
         break;
@@ -284,7 +295,7 @@
 
 void generation::ended(std::int64_t count)
 {
-    machine_.process_event(generation_events::ended{count});
+    machine_->states.process_event(generation_events::ended{count});
 }
 
 bool generation::is_complete(std::int64_t count)
@@ -341,7 +352,7 @@
     const bool no_deadline = streams() && delivered_ > 0;
     situation.time_left = no_deadline ? state_.settings.requests.resume_grace : deadline_ - state_.now;
     decision_ = state_.retry.decide(situation, state_.budget_of(asked_.service), state_.random);
-    machine_.process_event(generation_events::attempt_lost{failure});
+    machine_->states.process_event(generation_events::attempt_lost{failure});
 }
 
 bool generation::may_try_again(attempt_failure /*failure*/)
@@ -392,7 +403,7 @@
         // A stream that has begun has met its deadline.
         if (!streams() || cursor_.next() == 0)
         {
-            machine_.process_event(generation_events::timed_out{});
+            machine_->states.process_event(generation_events::timed_out{});
         }
         break;
     case timer_kind::permit_wait:
@@ -406,7 +417,7 @@
         {
             permit_grant existing;
             existing.endpoint = endpoint_;
-            machine_.process_event(generation_events::permitted{existing});
+            machine_->states.process_event(generation_events::permitted{existing});
         }
         else if (current)
         {
@@ -416,7 +427,7 @@
     case timer_kind::resume_due:
         if (current)
         {
-            machine_.process_event(generation_events::resume_due{});
+            machine_->states.process_event(generation_events::resume_due{});
         }
         break;
     case timer_kind::renew_permit:
@@ -522,7 +533,7 @@
 
 void generation::cancel()
 {
-    machine_.process_event(generation_events::abandoned{});
+    machine_->states.process_event(generation_events::abandoned{});
 }
 
 void generation::abandon()
--- a/libs/decision_core/src/generation.hpp
+++ b/libs/decision_core/src/generation.hpp
@@ -3,10 +3,10 @@
 #include "core_state.hpp"   // core_state
 #include "pool_manager.hpp" // pool_manager
 
-#include <parsleyshift/streams/generation_machine.hpp> // generation_machine
 #include <parsleyshift/streams/outcome_tracker.hpp>    // outcome_tracker
 #include <parsleyshift/streams/token_cursor.hpp>       // token_cursor
 
+#include <memory>   // unique_ptr
 #include <optional> // optional
 #include <string>   // string
 #include <vector>   // vector
@@ -28,7 +28,7 @@
     generation& operator=(const generation&) = delete;
     generation(generation&&) = delete;
     generation& operator=(generation&&) = delete;
-    ~generation() = default;
+    ~generation();
 
     // Events.
     void begin();
@@ -80,6 +80,8 @@
     void abandon();
 
   private:
+    struct machine;
+
     [[nodiscard]] bool streams() const noexcept
     {
         return asked_.how == delivery::stream;
@@ -106,7 +108,8 @@
     limit_charge charge_;
     fingerprint print_;
     std::string name_;
-    generation_machine<generation> machine_;
+    /// Behind a pointer, since the machine's type can only be formed once this class is complete.
+    std::unique_ptr<machine> machine_;
     outcome_tracker tracker_;
     token_cursor cursor_;
     retry_decision decision_;
--- a/libs/decision_core/src/order_manager.cpp
+++ b/libs/decision_core/src/order_manager.cpp
@@ -200,9 +200,9 @@
     }
 }
 
-void order_manager::wait_for(request_id run, const waiter& who)
+void order_manager::wait_for(request_id id, const waiter& who)
 {
-    const auto found = runs_.find(run);
+    const auto found = runs_.find(id);
     if (found == runs_.end())
     {
         answer_error(who, outcome::unknown, make_error(error_kind::result_unknown, "the order is in progress"));
--- a/libs/decision_core/src/order_manager.hpp
+++ b/libs/decision_core/src/order_manager.hpp
@@ -29,8 +29,8 @@
     void handle(const order_query& asked);
     void handle(const instance_id& from, const std::string& peer_address, const order_forward& forwarded);
     void handle(const order_reply& reply);
-    void answered(attempt_id attempt, request_id run, const std::string& result);
-    void failed(attempt_id attempt, request_id run, attempt_failure failure);
+    void answered(attempt_id attempt, request_id id, const std::string& result);
+    void failed(attempt_id attempt, request_id id, attempt_failure failure);
     void timer(const core_timer& due);
     void expire()
     {
@@ -90,7 +90,7 @@
     void start(run& active);
     void retry_or_finish(run& active, attempt_failure failure);
     void finish(run& active, order_result result);
-    void wait_for(request_id run, const waiter& who);
+    void wait_for(request_id id, const waiter& who);
     void answer(const waiter& who, const order_result& result, time_point settled_after);
     void answer_error(const waiter& who, outcome what, error why, time_point settled_after = never);
     [[nodiscard]] bool is_home(const order_key_token& key) const;
