--- /dev/null
+++ b/bench/policy/decision_cost/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
