Add the configuration library

Accepted records as a join semilattice with activation flags, digests and bounded pulls, readers chosen by rendezvous hashing, and the readiness rule. The new message fields have initializers, so that aggregates in other parts compile.

--- /dev/null
+++ b/libs/configuration/tests/configuration_store_test.cpp
@@ -0,0 +1,320 @@
+#include "store_network.hpp"
+
+#include "CppUTest/TestHarness.h" // CHECK_TRUE
+
+using namespace parsleyshift;
+using namespace parsleyshift::literals;
+using parsleyshift::test_support::fake_acceptor;
+using parsleyshift::test_support::fake_store;
+using parsleyshift::test_support::store_network;
+
+namespace
+{
+
+raw_record record(const std::string& name, const std::string& body, int schema = 1)
+{
+    return {"customer", name, {}, schema, false, body};
+}
+
+/// Nodes at which the body is not in force.
+std::size_t without(const store_network& network, const std::string& name, const std::string& body)
+{
+    std::size_t count = 0;
+    for (std::size_t index = 0; index < network.nodes.size(); ++index)
+    {
+        count += network.nodes[index].store && network.body(index, name) != body ? 1 : 0;
+    }
+    return count;
+}
+
+void start_all(store_network& network)
+{
+    for (std::size_t index = 0; index < network.nodes.size(); ++index)
+    {
+        network.start(index);
+    }
+    network.update_views();
+    network.run_for(30_s);
+}
+
+std::size_t not_ready(const store_network& network)
+{
+    std::size_t count = 0;
+    for (const store_network::node& node : network.nodes)
+    {
+        count += node.store && !node.store->ready() ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_GROUP(configuration_store){};
+
+// Guards against changes that come into force late or not at all on some instances, at the full number of instances.
+TEST(configuration_store, a_change_is_in_force_everywhere_within_nine_seconds)
+{
+    for (const std::size_t size : {9, 400, 1'600})
+    {
+        store_network network{size, size == 9 ? 3U : 11U, 31};
+        network.loss = 0.1;
+        for (int name = 0; name < 50; ++name)
+        {
+            network.write(record("c" + std::to_string(name), "first"));
+        }
+        start_all(network);
+        LONGS_EQUAL(0, not_ready(network));
+        LONGS_EQUAL(0, without(network, "c7", "first"));
+        for (int change = 0; change < 3; ++change)
+        {
+            const std::string body = "change " + std::to_string(change);
+            network.write(record("c7", body));
+            network.run_for(9_s);
+            LONGS_EQUAL(0, without(network, "c7", body));
+        }
+    }
+}
+
+// Guards against a read load on the service that grows with the instances; the bounds are the formula of
+// read_schedule, with a fifth more for reads at the start.
+TEST(configuration_store, calls_to_the_service_stay_within_the_formula)
+{
+    struct deployment
+    {
+        std::size_t instances;
+        std::size_t regions;
+        bool views;
+        double readers;
+    };
+    for (const deployment& tried : {deployment{9, 3, true, 9}, {400, 11, true, 33}, {400, 11, false, 400}})
+    {
+        store_network network{tried.instances, tried.regions, 32};
+        network.write(record("a", "0"));
+        for (std::size_t index = 0; index < tried.instances; ++index)
+        {
+            network.start(index);
+            network.give_view(index, {network.nodes[index].self});
+        }
+        if (tried.views)
+        {
+            network.update_views();
+        }
+        network.run_for(40_s);
+        const std::uint64_t before = network.calls;
+        for (int change = 0; change < 66; ++change)
+        {
+            network.write(record("a", std::to_string(change)));
+            network.run_for(4'545_ms);
+        }
+        const double per_reader = 0.22 + 1.0 / 30.0 + 1.0 / 300.0;
+        const double seconds = 66 * 4.545;
+        CHECK(static_cast<double>(network.calls - before) <= 1.2 * tried.readers * per_reader * seconds);
+        LONGS_EQUAL(0, without(network, "a", "65"));
+    }
+}
+
+// Guards against a bad write that replaces the last good version anywhere, also on instances that start later.
+TEST(configuration_store, a_bad_write_leaves_the_last_good_version_everywhere)
+{
+    store_network network{9, 3, 33};
+    network.write(record("a", "good"));
+    for (std::size_t index = 0; index < 8; ++index)
+    {
+        network.start(index);
+    }
+    network.update_views();
+    network.run_for(20_s);
+    network.write(record("a", "bad"));
+    network.run_for(9_s);
+    LONGS_EQUAL(0, without(network, "a", "good"));
+    network.start(8);
+    network.update_views();
+    network.run_for(9_s);
+    LONGS_EQUAL(0, without(network, "a", "good"));
+    LONGS_EQUAL(0, not_ready(network));
+    std::size_t reports = 0;
+    for (const store_network::node& node : network.nodes)
+    {
+        reports += node.seen.rejected.size();
+    }
+    CHECK(reports >= 1 && reports <= 9);
+    network.write(record("a", "repaired"));
+    network.run_for(9_s);
+    LONGS_EQUAL(0, without(network, "a", "repaired"));
+}
+
+// Guards against a service that was set back to an old copy, and against one that is down, while instances restart.
+TEST(configuration_store, a_stale_or_unreachable_service_changes_nothing)
+{
+    store_network network{9, 3, 34};
+    network.write(record("a", "old"));
+    const std::vector<raw_record> old = network.records;
+    network.write(record("a", "new"));
+    network.write({"customer", "b", {}, 1, true, ""});
+    start_all(network);
+    const revision before = network.nodes[0].store->highest();
+    network.records = old;
+    network.highest = revision{1};
+    network.run_for(120_s);
+    LONGS_EQUAL(0, without(network, "a", "new"));
+    network.service_up = false;
+    for (std::size_t index = 0; index < 9; ++index)
+    {
+        network.start(index);
+        network.update_views();
+        network.run_for(9_s);
+        CHECK(network.nodes[index].store->ready());
+        LONGS_EQUAL(0, without(network, "a", "new"));
+    }
+    network.service_up = true;
+    network.run_for(120_s);
+    LONGS_EQUAL(0, without(network, "a", "new"));
+    for (const store_network::node& node : network.nodes)
+    {
+        CHECK(node.store->highest() >= before);
+    }
+}
+
+// Guards against an instance that serves with an older configuration than its callers have seen.
+TEST(configuration_store, ready_waits_for_the_floor)
+{
+    member_update self;
+    self.instance = instance_id{"0"};
+    fake_store store{self, fake_acceptor{}, {}, 1};
+    configuration_output out;
+    store.update_members(std::vector<member_update>{self}, true, at_ms(1'000), out);
+    store.expire(at_ms(2'500), out);
+    CHECK_FALSE(store.ready());
+    LONGS_EQUAL(1, out.reads.size());
+    store.raise_floor(revision{7});
+    raw_record first = record("a", "1");
+    first.changed = revision{6};
+    store.handle(configuration_received{revision{6}, {first}, true}, at_ms(3'000), out);
+    CHECK_FALSE(store.ready());
+    store.handle(configuration_received{revision{7}, {first}, true}, at_ms(4'000), out);
+    CHECK(store.ready());
+    // A later token of another instance interrupts nothing.
+    store.raise_floor(revision{9});
+    CHECK(store.ready());
+}
+
+// Guards against a start that relies on a stale service although peers know more.
+TEST(configuration_store, ready_waits_for_the_revision_of_a_peer)
+{
+    member_update self;
+    self.instance = instance_id{"0"};
+    member_update peer;
+    peer.instance = instance_id{"1"};
+    fake_store store{self, fake_acceptor{}, {}, 1};
+    configuration_output out;
+    store.update_members(std::vector<member_update>{self, peer}, true, at_ms(1'000), out);
+    store.handle(configuration_received{revision{3}, {}, true}, at_ms(1'500), out);
+    CHECK_FALSE(store.ready());
+    store.handle(peer_envelope{peer.instance, {}, "1", revision{5}, probe{}}, at_ms(2'000), out);
+    store.expire(at_ms(20'000), out);
+    CHECK_FALSE(store.ready());
+    store.handle(peer_envelope{peer.instance, {}, "1", revision{5}, configuration_digest{revision{5}, {}}},
+                 at_ms(21'000), out);
+    CHECK(store.ready());
+}
+
+// Guards against a first start of all instances that waits for ever, and against one without any configuration.
+TEST(configuration_store, a_first_start_needs_the_service)
+{
+    store_network network{9, 3, 35};
+    network.service_up = false;
+    start_all(network);
+    LONGS_EQUAL(9, not_ready(network));
+    network.service_up = true;
+    network.write(record("a", "1"));
+    network.run_for(90_s);
+    LONGS_EQUAL(0, not_ready(network));
+}
+
+// Guards against records in force while some instance cannot read them, and against activations that are lost.
+TEST(configuration_store, a_newer_schema_is_in_force_when_all_can_read_it)
+{
+    store_network network{9, 3, 36};
+    network.write(record("a", "one"));
+    for (std::size_t index = 0; index < 9; ++index)
+    {
+        network.start(index, index < 6 ? 1 : 2);
+    }
+    network.update_views();
+    network.run_for(20_s);
+    network.write(record("a", "two", 2));
+    network.run_for(20_s);
+    LONGS_EQUAL(0, without(network, "a", "one"));
+    // The former instances are replaced one by one; the service is down, so that only peers hold the record.
+    network.service_up = false;
+    for (std::size_t index = 0; index < 6; ++index)
+    {
+        LONGS_EQUAL(0, without(network, "a", "one"));
+        network.stop(index);
+        network.update_views();
+        network.start(index, 2);
+        network.update_views();
+        network.run_for(15_s);
+    }
+    LONGS_EQUAL(0, without(network, "a", "two"));
+    // An instance that returns to the old release does not take the record back elsewhere.
+    network.start(0, 1);
+    network.update_views();
+    network.run_for(15_s);
+    LONGS_EQUAL(1, without(network, "a", "two"));
+    LONGS_EQUAL(1, network.nodes[0].seen.unreadable.size());
+    CHECK(network.nodes[0].store->ready());
+}
+
+// Guards against an instance that drops a record because it cannot read the version that others have in force.
+TEST(configuration_store, the_last_readable_version_is_kept)
+{
+    member_update self;
+    self.schema = 1;
+    fake_store store{self, fake_acceptor{1}, {}, 1};
+    configuration_output out;
+    raw_record readable = record("a", "one");
+    readable.changed = revision{1};
+    raw_record newer = record("a", "two", 2);
+    newer.changed = revision{2};
+    store.handle(peer_envelope{instance_id{"1"},
+                               {},
+                               "1",
+                               revision{2},
+                               configuration_records{revision{2}, {{readable, true, true}, {newer, true, true}}}},
+                 at_ms(1), out);
+    STRCMP_EQUAL("one", store.find("customer", "a")->body.c_str());
+    LONGS_EQUAL(1, out.unreadable.size());
+    LONGS_EQUAL(1, out.unreadable.front().kept.value());
+}
+
+// Guards against messages of many megabytes: each record may be 1 MB.
+TEST(configuration_store, large_records_travel_one_by_one)
+{
+    store_network network{30, 3, 37};
+    start_all(network);
+    for (int name = 0; name < 5; ++name)
+    {
+        network.write(record("large" + std::to_string(name), std::string(1'000'000, 'x')));
+    }
+    network.run_for(9_s);
+    for (int name = 0; name < 5; ++name)
+    {
+        LONGS_EQUAL(0, without(network, "large" + std::to_string(name), std::string(1'000'000, 'x')));
+    }
+    CHECK(network.largest_records <= 1);
+}
+
+// Guards against anti-entropy that sends whole buckets again and again while nothing is missing.
+TEST(configuration_store, equal_stores_exchange_no_records)
+{
+    store_network network{60, 3, 38};
+    for (int name = 0; name < 200; ++name)
+    {
+        network.write(record("c" + std::to_string(name), std::string(300, 'x')));
+    }
+    start_all(network);
+    const std::uint64_t before = network.record_bytes;
+    network.run_for(60_s);
+    LONGS_EQUAL(0, network.record_bytes - before);
+}
--- a/libs/membership/tests/member_table_test.cpp
+++ b/libs/membership/tests/member_table_test.cpp
@@ -49,7 +49,8 @@
                                      auto updates =
                                          *rc::gen::container<std::vector<member_update>>(rc::gen::exec(any_update));
                                      const member_table first = table_of(updates);
-                                     updates.insert(updates.end(), updates.begin(), updates.end());
+                                     const auto repeated = updates;
+                                     updates.insert(updates.end(), repeated.begin(), repeated.end());
                                      std::mt19937 engine{*rc::gen::arbitrary<std::uint32_t>()};
                                      std::shuffle(updates.begin(), updates.end(), engine);
                                      const member_table second = table_of(updates);
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -103,7 +103,7 @@
 {
     std::vector<std::uint32_t> buckets;
     /// Only records that changed after this revision; 0: all.
-    revision after;
+    revision after{};
 };
 
 /// A record with what the sender knows about it.
@@ -125,7 +125,7 @@
     std::vector<shared_record> records;
     /// True when the message holds every change in (after, highest].
     bool complete = false;
-    revision after;
+    revision after{};
     /// True for the answer to a pull, which the receiver does not pass on.
     bool answer = false;
 };
