--- a/libs/runtime/include/parsleyshift/runtime/channel.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/channel.hpp
@@ -24,8 +24,8 @@
     /// @param capacity elements in the ring
     /// @param wake_consumer called on the producer's thread when elements have been added
     /// @param wake_producer called on the consumer's thread when a producer that holds elements has room again
-    channel(std::size_t capacity, notification wake_consumer, notification wake_producer) :
-        ring_(capacity), wake_consumer_(std::move(wake_consumer)), wake_producer_(std::move(wake_producer))
+    channel(std::size_t capacity, notification wake_consumer, notification wake_producer)
+        : ring_(capacity), wake_consumer_(std::move(wake_consumer)), wake_producer_(std::move(wake_producer))
     {
     }
 
@@ -44,7 +44,10 @@
         if (unannounced_)
         {
             unannounced_ = false;
-            flush();
+            if (!held_.empty())
+            {
+                flush();
+            }
             wake_consumer_();
         }
     }
@@ -58,7 +61,7 @@
     {
         return held_.size();
     }
-    /// @brief Producer: moves held elements to the ring.
+    /// @brief Producer: moves held elements to the ring and wakes the consumer for them.
     /// @return true when none is held any more; otherwise the consumer will call wake_producer
     bool flush()
     {
@@ -106,10 +109,15 @@
   private:
     bool move_held()
     {
+        const std::size_t before = held_.size();
         while (!held_.empty() && ring_.try_push(held_.front()))
         {
             held_.pop_front();
         }
+        if (held_.size() < before)
+        {
+            wake_consumer_();
+        }
         return held_.empty();
     }
 
--- a/libs/runtime/src/caller_connection.cpp
+++ b/libs/runtime/src/caller_connection.cpp
@@ -46,8 +46,8 @@
 
 } // namespace
 
-caller_connection::caller_connection(tcp_socket socket, caller_server& server) :
-    socket_(std::move(socket)), server_(server), last_progress_(millisecond_clock::now())
+caller_connection::caller_connection(tcp_socket socket, caller_server& server)
+    : socket_(std::move(socket)), server_(server), last_progress_(millisecond_clock::now())
 {
 }
 
@@ -192,8 +192,7 @@
     {
         const error& why = routed.error();
         server_.metrics_.count_malformed(input_source::caller, why.kind);
-        answer(http_status(why.kind), json_type,
-               answer_body(request_rejected{{}, outcome::not_run, why, 0, never}));
+        answer(http_status(why.kind), json_type, answer_body(request_rejected{{}, outcome::not_run, why, 0, never}));
         flush();
         return;
     }
--- a/libs/runtime/src/caller_route.cpp
+++ b/libs/runtime/src/caller_route.cpp
@@ -192,8 +192,7 @@
     BOOST_OUTCOME_TRY(const parsed_target target, parse_target(message.target));
     if (auto operators = operator_call(message, target))
     {
-        if (context.operator_sha256.empty() ||
-            !equal_in_constant_time(message.key_sha256, context.operator_sha256))
+        if (context.operator_sha256.empty() || !equal_in_constant_time(message.key_sha256, context.operator_sha256))
         {
             return make_error(error_kind::unauthenticated, "Authorization: the operators' key is required");
         }
--- a/libs/runtime/src/caller_server.cpp
+++ b/libs/runtime/src/caller_server.cpp
@@ -5,9 +5,9 @@
 
 #include <parsleyshift/wire/caller_codec.hpp> // answer_body, append_event
 
-#include <algorithm> // clamp, min
+#include <algorithm>   // clamp, min
 #include <type_traits> // is_same_v
-#include <utility>   // move
+#include <utility>     // move
 
 namespace parsleyshift
 {
@@ -21,9 +21,14 @@
 } // namespace
 
 caller_server::caller_server(asio::io_context& context, caller_server_options options, channel<inbound_event>& events,
-                             metrics& figures, std::function<std::string()> metrics_text) :
-    options_(std::move(options)), events_(events), metrics_(figures), metrics_text_(std::move(metrics_text)),
-    context_(context), acceptor_(context), sweep_timer_(context)
+                             metrics& figures, std::function<std::string()> metrics_text)
+    : options_(std::move(options)),
+      events_(events),
+      metrics_(figures),
+      metrics_text_(std::move(metrics_text)),
+      context_(context),
+      acceptor_(context),
+      sweep_timer_(context)
 {
     call_context_.bounds = {options_.bounds.max_body_bytes, options_.bounds.max_json_depth};
     if (!options_.operator_key.empty())
--- /dev/null
+++ b/libs/runtime/src/check_key.cpp
@@ -0,0 +1,52 @@
+#include <parsleyshift/runtime/check_key.hpp> // key_is_right
+
+#include "sha256.hpp" // equal_in_constant_time
+
+#include <type_traits> // decay_t, is_same_v
+#include <variant>     // visit
+
+namespace parsleyshift
+{
+
+namespace
+{
+
+template <class T>
+constexpr bool is_caller_event =
+    std::is_same_v<T, generation_request> || std::is_same_v<T, call_request> || std::is_same_v<T, key_request> ||
+    std::is_same_v<T, order_request> || std::is_same_v<T, entry_query>;
+
+} // namespace
+
+bool key_is_right(const inbound_event& taken, const std::function<std::string(const customer_id&)>& expected)
+{
+    return std::visit(
+        [&](const auto& each)
+        {
+            if constexpr (is_caller_event<std::decay_t<decltype(each)>>)
+            {
+                const std::string wanted = expected(each.customer);
+                return wanted.empty() || equal_in_constant_time(wanted, taken.key_sha256);
+            }
+            return true;
+        },
+        taken.what);
+}
+
+request_rejected unauthenticated(const inbound_event& taken)
+{
+    request_rejected rejected;
+    rejected.why = make_error(error_kind::unauthenticated, "Authorization: the customer's key is required");
+    std::visit(
+        [&rejected](const auto& each)
+        {
+            if constexpr (is_caller_event<std::decay_t<decltype(each)>>)
+            {
+                rejected.request = each.request;
+            }
+        },
+        taken.what);
+    return rejected;
+}
+
+} // namespace parsleyshift
--- a/libs/runtime/src/endpoint_client.cpp
+++ b/libs/runtime/src/endpoint_client.cpp
@@ -40,9 +40,12 @@
 } // namespace
 
 endpoint_client::endpoint_client(asio::io_context& context, endpoint_client_options options,
-                                 channel<inbound_event>& events, metrics& figures) :
-    context_(context), options_(options), events_(events), metrics_(figures),
-    http_(context, client_options(options, events))
+                                 channel<inbound_event>& events, metrics& figures)
+    : context_(context),
+      options_(options),
+      events_(events),
+      metrics_(figures),
+      http_(context, client_options(options, events))
 {
 }
 
@@ -151,11 +154,7 @@
     call.fresh_connection = !what.key.empty();
     call.body_limit = options_.answer_bounds.max_bytes;
     const attempt_id attempt = what.attempt;
-    http_.start(std::move(call),
-                [this, attempt](http_result answer)
-                {
-                    end_call(attempt, std::move(answer));
-                });
+    http_.start(std::move(call), [this, attempt](http_result answer) { end_call(attempt, std::move(answer)); });
 }
 
 void endpoint_client::end_call(attempt_id attempt, http_result answer)
@@ -211,11 +210,7 @@
     call.text = request_text("GET", "/load", call.address, {});
     call.answer_by = millisecond_clock::now() + report_timeout;
     call.body_limit = options_.answer_bounds.max_bytes;
-    http_.start(std::move(call),
-                [this, watched](http_result answer)
-                {
-                    read_load(watched, std::move(answer));
-                });
+    http_.start(std::move(call), [this, watched](http_result answer) { read_load(watched, std::move(answer)); });
 }
 
 void endpoint_client::read_load(const std::shared_ptr<watch>& watched, http_result answer)
@@ -252,15 +247,10 @@
 {
     http_call call;
     call.address = watched->what.address;
-    call.text =
-        request_text("GET", "/cache-events?after=" + std::to_string(watched->next_event), call.address, {});
+    call.text = request_text("GET", "/cache-events?after=" + std::to_string(watched->next_event), call.address, {});
     call.answer_by = millisecond_clock::now() + report_timeout;
     call.body_limit = options_.answer_bounds.max_bytes;
-    http_.start(std::move(call),
-                [this, watched](http_result answer)
-                {
-                    read_cache(watched, std::move(answer));
-                });
+    http_.start(std::move(call), [this, watched](http_result answer) { read_cache(watched, std::move(answer)); });
 }
 
 void endpoint_client::read_cache(const std::shared_ptr<watch>& watched, http_result answer)
@@ -309,11 +299,7 @@
     call.address = std::move(what.address);
     call.answer_by = millisecond_clock::now() + order_timeout;
     call.body_limit = options_.answer_bounds.max_bytes;
-    http_.start(std::move(call),
-                [this, order = what.order](http_result answer)
-                {
-                    end_order(order, answer);
-                });
+    http_.start(std::move(call), [this, order = what.order](http_result answer) { end_order(order, answer); });
 }
 
 void endpoint_client::end_order(const placement_order& order, const http_result& answer)
--- a/libs/runtime/src/event_log.cpp
+++ b/libs/runtime/src/event_log.cpp
@@ -3,8 +3,8 @@
 #include <parsleyshift/core/clock.hpp>       // millisecond_clock
 #include <parsleyshift/wire/json_string.hpp> // append_json_string
 
-#include <spdlog/async.h>                     // async_logger, thread_pool
-#include <spdlog/sinks/stdout_sinks.h>        // stderr_sink_mt
+#include <spdlog/async.h>              // async_logger, thread_pool
+#include <spdlog/sinks/stdout_sinks.h> // stderr_sink_mt
 
 namespace parsleyshift
 {
@@ -56,9 +56,11 @@
 
 } // namespace
 
-event_log::event_log(log_format format, std::string_view least, instance_id instance) :
-    format_(format), least_(value_of<log_level>(least).value_or(log_level::info)), instance_(std::move(instance)),
-    pool_(std::make_shared<spdlog::details::thread_pool>(queued_lines, 1))
+event_log::event_log(log_format format, std::string_view least, instance_id instance)
+    : format_(format),
+      least_(value_of<log_level>(least).value_or(log_level::info)),
+      instance_(std::move(instance)),
+      pool_(std::make_shared<spdlog::details::thread_pool>(queued_lines, 1))
 {
     auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
     logger_ = std::make_shared<spdlog::async_logger>("parsleyshift", sink, pool_,
--- a/libs/runtime/src/generation_sink.cpp
+++ b/libs/runtime/src/generation_sink.cpp
@@ -28,8 +28,8 @@
 
 } // namespace
 
-generation_sink::generation_sink(endpoint_client& client, attempt_id attempt, bool resumed) :
-    client_(client), attempt_(attempt), resumed_(resumed)
+generation_sink::generation_sink(endpoint_client& client, attempt_id attempt, bool resumed)
+    : client_(client), attempt_(attempt), resumed_(resumed)
 {
     batch_.attempt = attempt;
 }
--- a/libs/runtime/src/http_client.cpp
+++ b/libs/runtime/src/http_client.cpp
@@ -61,8 +61,8 @@
     return text;
 }
 
-http_client::http_client(asio::io_context& context, http_client_options options) :
-    context_(context), options_(std::move(options)), sweep_timer_(context)
+http_client::http_client(asio::io_context& context, http_client_options options)
+    : context_(context), options_(std::move(options)), sweep_timer_(context)
 {
 }
 
--- a/libs/runtime/src/http_client.hpp
+++ b/libs/runtime/src/http_client.hpp
@@ -89,9 +89,13 @@
     duration idle_timeout{30'000};
     std::size_t max_idle_per_address = 64;
     /// False while the thread must not read, because the decision thread is behind.
-    std::function<bool()> may_read = [] { return true; };
+    std::function<bool()> may_read = []
+    {
+        return true;
+    };
     /// Called after each batch of sink calls.
-    std::function<void()> batch_done = [] {};
+    std::function<void()> batch_done = [] {
+    };
 };
 
 /// @brief HTTP/1.1 client with a pool of kept connections; all members run on one I/O thread.
--- a/libs/runtime/src/http_exchange.cpp
+++ b/libs/runtime/src/http_exchange.cpp
@@ -1,10 +1,10 @@
 #include "http_exchange.hpp" // http_exchange
 
-#include <boost/asio/buffer.hpp>         // buffer
-#include <boost/asio/post.hpp>           // post
-#include <boost/beast/http/error.hpp>    // error
-#include <boost/beast/http/read.hpp>     // response_parser
-#include <boost/none.hpp>                // none
+#include <boost/asio/buffer.hpp>      // buffer
+#include <boost/asio/post.hpp>        // post
+#include <boost/beast/http/error.hpp> // error
+#include <boost/beast/http/read.hpp>  // response_parser
+#include <boost/none.hpp>             // none
 
 #include <algorithm> // copy
 #include <utility>   // move
@@ -14,8 +14,8 @@
 
 namespace http = boost::beast::http;
 
-http_connection::http_connection(asio::io_context& context, http_client& owner, std::string to) :
-    socket(context), client(owner), address(std::move(to))
+http_connection::http_connection(asio::io_context& context, http_client& owner, std::string to)
+    : socket(context), client(owner), address(std::move(to))
 {
 }
 
@@ -51,8 +51,8 @@
     socket.close(ignored);
 }
 
-http_exchange::http_exchange(http_client& client, http_call call, std::shared_ptr<exchange_sink> sink) :
-    client_(client), call_(std::move(call)), sink_(std::move(sink)), last_progress_(millisecond_clock::now())
+http_exchange::http_exchange(http_client& client, http_call call, std::shared_ptr<exchange_sink> sink)
+    : client_(client), call_(std::move(call)), sink_(std::move(sink)), last_progress_(millisecond_clock::now())
 {
 }
 
@@ -123,7 +123,8 @@
             fail(attempt_failure::deadline_passed, "the deadline passed before the request was written");
             return;
         }
-        written_ += socket.write_some(asio::buffer(call_.text.data() + written_, call_.text.size() - written_), failure);
+        written_ +=
+            socket.write_some(asio::buffer(call_.text.data() + written_, call_.text.size() - written_), failure);
         if (failure == asio::error::would_block)
         {
             socket.async_wait(tcp_socket::wait_write,
--- a/libs/runtime/src/metrics.cpp
+++ b/libs/runtime/src/metrics.cpp
@@ -22,9 +22,9 @@
 using prometheus::Histogram;
 
 // Milliseconds: 1 ms to 2 minutes.
-const Histogram::BucketBoundaries time_buckets{1,   2,   5,     10,    20,    35,    63,     100,   200,
+const Histogram::BucketBoundaries time_buckets{1,   2,   5,     10,    20,    35,     63,     100,    200,
                                                400, 800, 1'200, 2'500, 5'000, 10'000, 30'000, 120'000};
-const Histogram::BucketBoundaries token_buckets{4,    8,    16,    32,    64,    128,    256,    512,
+const Histogram::BucketBoundaries token_buckets{4,    8,    16,   32,   64,     128,    256,   512,
                                                 1024, 2048, 4096, 8192, 16'384, 32'768, 65'536};
 
 /// Label values up to a bound; a value beyond it becomes "other".
@@ -58,24 +58,24 @@
 
 struct metrics::state
 {
-    state() :
-        finished(prometheus::BuildCounter()
-                     .Name("parsleyshift_requests_finished_total")
-                     .Help("Requests by outcome, error kind, class and customer")
-                     .Register(registry)),
-        malformed(prometheus::BuildCounter()
-                      .Name("parsleyshift_malformed_input_total")
-                      .Help("Input that was rejected, by source and error kind")
-                      .Register(registry)),
-        dropped(prometheus::BuildCounter()
-                    .Name("parsleyshift_peer_frames_dropped_total")
-                    .Help("Messages to peers that were not sent")
-                    .Register(registry)
-                    .Add({})),
-        levels(prometheus::BuildGauge()
-                   .Name("parsleyshift_level")
-                   .Help("Open connections and elements in the rings between threads")
-                   .Register(registry))
+    state()
+        : finished(prometheus::BuildCounter()
+                       .Name("parsleyshift_requests_finished_total")
+                       .Help("Requests by outcome, error kind, class and customer")
+                       .Register(registry)),
+          malformed(prometheus::BuildCounter()
+                        .Name("parsleyshift_malformed_input_total")
+                        .Help("Input that was rejected, by source and error kind")
+                        .Register(registry)),
+          dropped(prometheus::BuildCounter()
+                      .Name("parsleyshift_peer_frames_dropped_total")
+                      .Help("Messages to peers that were not sent")
+                      .Register(registry)
+                      .Add({})),
+          levels(prometheus::BuildGauge()
+                     .Name("parsleyshift_level")
+                     .Help("Open connections and elements in the rings between threads")
+                     .Register(registry))
     {
         for (const auto& row : enum_names<observed>::rows)
         {
--- a/libs/runtime/src/net.hpp
+++ b/libs/runtime/src/net.hpp
@@ -16,7 +16,8 @@
 
 namespace asio = boost::asio;
 
-// Sockets and timers with the concrete executor: the type-erased one costs an allocation and an indirect call each time.
+// Sockets and timers with the concrete executor: the type-erased one costs an allocation and an indirect call each
+// time.
 using executor = asio::io_context::executor_type;
 using tcp_socket = asio::basic_stream_socket<asio::ip::tcp, executor>;
 using tcp_acceptor = asio::basic_socket_acceptor<asio::ip::tcp, executor>;
--- /dev/null
+++ b/libs/runtime/src/peer_link.cpp
@@ -0,0 +1,265 @@
+#include "peer_link.hpp" // peer_link, peer_session
+
+#include "peer_network.hpp" // peer_network
+
+#include <boost/asio/buffer.hpp> // buffer
+#include <boost/asio/read.hpp>   // async_read
+#include <boost/asio/write.hpp>  // async_write
+
+#include <algorithm> // min
+#include <utility>   // move
+
+namespace parsleyshift
+{
+
+namespace
+{
+// A frame's memory grows with what has arrived, so that a length prefix alone allocates little.
+constexpr std::size_t body_step = std::size_t{64} * 1024;
+} // namespace
+
+peer_link::peer_link(peer_network& network, std::string address)
+    : network_(network),
+      address_(std::move(address)),
+      socket_(network.context_),
+      last_progress_(millisecond_clock::now())
+{
+}
+
+void peer_link::send(std::string frame)
+{
+    const auto header = frame_header(frame.size());
+    frame.insert(frame.begin(), header.begin(), header.end());
+    queued_bytes_ += frame.size();
+    queue_.push_back(std::move(frame));
+    const auto& options = network_.options_;
+    // The first frame may be on its way.
+    while (queue_.size() > 2 && (queue_.size() > options.max_queued_frames || queued_bytes_ > options.max_queued_bytes))
+    {
+        queued_bytes_ -= queue_[1].size();
+        queue_.erase(queue_.begin() + 1);
+        network_.metrics_.count_dropped_frames(1);
+    }
+    if (connected_)
+    {
+        write();
+    }
+    else if (!connecting_)
+    {
+        connect();
+    }
+}
+
+void peer_link::connect()
+{
+    const auto endpoint = parse_address(address_, "peer address");
+    if (endpoint.has_error())
+    {
+        fail();
+        return;
+    }
+    connecting_ = true;
+    last_progress_ = millisecond_clock::now();
+    socket_.async_connect(endpoint.value(),
+                          [self = shared_from_this()](const boost::system::error_code& failure)
+                          {
+                              if (failure == asio::error::operation_aborted)
+                              {
+                                  return;
+                              }
+                              self->connecting_ = false;
+                              if (failure)
+                              {
+                                  self->fail();
+                                  return;
+                              }
+                              boost::system::error_code ignored;
+                              self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+                              self->connected_ = true;
+                              // Peers never answer on this connection: any result means that it has closed.
+                              self->socket_.async_read_some(asio::buffer(self->probe_),
+                                                            [self](const boost::system::error_code& end, std::size_t)
+                                                            {
+                                                                if (end != asio::error::operation_aborted)
+                                                                {
+                                                                    self->fail();
+                                                                }
+                                                            });
+                              self->write();
+                          });
+}
+
+void peer_link::write()
+{
+    if (writing_ || queue_.empty())
+    {
+        return;
+    }
+    writing_ = true;
+    last_progress_ = millisecond_clock::now();
+    asio::async_write(socket_, asio::buffer(queue_.front()),
+                      [self = shared_from_this()](const boost::system::error_code& failure, std::size_t)
+                      {
+                          if (failure == asio::error::operation_aborted)
+                          {
+                              return;
+                          }
+                          if (failure)
+                          {
+                              self->fail();
+                              return;
+                          }
+                          self->writing_ = false;
+                          self->queued_bytes_ -= self->queue_.front().size();
+                          self->queue_.pop_front();
+                          self->write();
+                      });
+}
+
+void peer_link::fail()
+{
+    if (!queue_.empty())
+    {
+        network_.metrics_.count_dropped_frames(queue_.size());
+    }
+    close();
+}
+
+void peer_link::close()
+{
+    queue_.clear();
+    queued_bytes_ = 0;
+    connecting_ = false;
+    connected_ = false;
+    writing_ = false;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+void peer_link::check_time(time_point now)
+{
+    const bool stuck = (connecting_ || writing_) && now - last_progress_ > network_.options_.connect_timeout;
+    if (stuck)
+    {
+        fail();
+    }
+}
+
+bool peer_link::unused(time_point now) const noexcept
+{
+    return !connecting_ && queue_.empty() && now - last_progress_ > network_.options_.idle_timeout;
+}
+
+peer_session::peer_session(peer_network& network, tcp_socket socket)
+    : network_(network), socket_(std::move(socket)), last_progress_(millisecond_clock::now())
+{
+}
+
+void peer_session::read()
+{
+    if (closed_)
+    {
+        return;
+    }
+    if (network_.events_.congested())
+    {
+        network_.paused_.push_back(shared_from_this());
+        return;
+    }
+    asio::async_read(socket_, asio::buffer(header_),
+                     [self = shared_from_this()](const boost::system::error_code& failure, std::size_t)
+                     {
+                         if (failure)
+                         {
+                             self->close();
+                             return;
+                         }
+                         self->on_header();
+                     });
+}
+
+void peer_session::on_header()
+{
+    const auto size = frame_size(header_);
+    if (size.has_error() || size.value() == 0)
+    {
+        reject(size.has_error() ? size.error().kind : error_kind::malformed_request);
+        return;
+    }
+    body_.clear();
+    expected_ = size.value();
+    read_body(0);
+}
+
+void peer_session::read_body(std::size_t have)
+{
+    last_progress_ = millisecond_clock::now();
+    const std::size_t step = std::min(expected_ - have, body_step);
+    body_.resize(have + step);
+    asio::async_read(socket_, asio::buffer(body_.data() + have, step),
+                     [self = shared_from_this()](const boost::system::error_code& failure, std::size_t)
+                     {
+                         if (failure)
+                         {
+                             self->close();
+                         }
+                         else if (self->body_.size() < self->expected_)
+                         {
+                             self->read_body(self->body_.size());
+                         }
+                         else
+                         {
+                             self->on_body();
+                         }
+                     });
+}
+
+void peer_session::on_body()
+{
+    last_progress_ = millisecond_clock::now();
+    auto envelope = decode(body_);
+    if (envelope.has_error())
+    {
+        // The length prefix still tells where the next frame begins, and a newer peer may send unknown messages.
+        network_.metrics_.count_malformed(input_source::peer, envelope.error().kind);
+    }
+    else
+    {
+        network_.events_.send({peer_received{std::move(envelope.value())}, {}});
+        network_.events_.announce();
+    }
+    if (body_.capacity() > body_step)
+    {
+        std::string{}.swap(body_);
+    }
+    read();
+}
+
+void peer_session::reject(error_kind kind)
+{
+    network_.metrics_.count_malformed(input_source::peer, kind);
+    close();
+}
+
+void peer_session::close()
+{
+    if (closed_)
+    {
+        return;
+    }
+    closed_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    network_.sessions_.erase(shared_from_this());
+}
+
+void peer_session::check_time(time_point now)
+{
+    // Twice the sender's bound, so that the sender closes first.
+    if (now - last_progress_ > network_.options_.idle_timeout * 2)
+    {
+        close();
+    }
+}
+
+} // namespace parsleyshift
