--- a/apps/standins/configuration.cpp
+++ b/apps/standins/configuration.cpp
@@ -1,6 +1,8 @@
 #include "http_server.hpp" // serve, exchange
 #include "standin.hpp"     // run_configuration
 
+#include <parsleyshift/client/json_member.hpp> // member_or
+
 #include <chrono>             // milliseconds
 #include <condition_variable> // condition_variable
 #include <iostream>           // cout
@@ -118,8 +120,8 @@
         const nlohmann::json request = call.body();
         {
             const std::lock_guard lock{mutex_};
-            down_ = field_or<bool>(request, "down", down_);
-            const bool stale = field_or<bool>(request, "stale", stale_);
+            down_ = member_or<bool>(request, "down", down_);
+            const bool stale = member_or<bool>(request, "stale", stale_);
             if (stale && !stale_)
             {
                 stale_records_ = records_;
--- a/apps/standins/engine.cpp
+++ b/apps/standins/engine.cpp
@@ -3,6 +3,8 @@
 #include "http_server.hpp"  // serve, exchange
 #include "standin.hpp"      // run_engine
 
+#include <parsleyshift/client/json_member.hpp> // member_or
+
 #include <cstdlib>  // quick_exit
 #include <iostream> // cout
 #include <memory>   // shared_ptr
@@ -79,14 +81,14 @@
 void administer(engine_model& model, exchange& call, const std::function<void()>& leave)
 {
     const nlohmann::json request = call.body();
-    const std::string action = field_or<std::string>(request, "action", "");
+    const std::string action = member_or<std::string>(request, "action", "");
     if (action == "slow")
     {
-        model.set_slow(field_or<double>(request, "factor", 1));
+        model.set_slow(member_or<double>(request, "factor", 1));
     }
     else if (action == "pause")
     {
-        model.pause_for(field_or<std::int64_t>(request, "ms", 1'000));
+        model.pause_for(member_or<std::int64_t>(request, "ms", 1'000));
     }
     else if (action == "leave")
     {
--- a/apps/standins/engine_model.cpp
+++ b/apps/standins/engine_model.cpp
@@ -1,5 +1,7 @@
 #include "engine_model.hpp" // engine_model
 
+#include <parsleyshift/client/json_member.hpp> // member_or
+
 #include "http_server.hpp" // field_or, now_ms
 
 #include <parsleyshift/core/hash.hpp> // stable_hash
@@ -81,14 +83,14 @@
 std::optional<std::string> engine_model::submit(const std::string& attempt, const nlohmann::json& request)
 {
     const std::lock_guard lock{mutex_};
-    const std::string model = field_or<std::string>(request, "model", "");
+    const std::string model = member_or<std::string>(request, "model", "");
     generation added;
-    added.prompt = field_or<std::string>(request, "prompt", "");
+    added.prompt = member_or<std::string>(request, "prompt", "");
     added.prompt_tokens = static_cast<std::int64_t>(added.prompt.size() / 4 + 1);
-    added.priority = field_or<std::int64_t>(request, "priority", 0);
+    added.priority = member_or<std::int64_t>(request, "priority", 0);
     added.crash_at = number_after(added.prompt, "crash=").value_or(-1);
     added.total = number_after(added.prompt, "length=").value_or(natural_length(added.prompt));
-    const auto limit = field_or<std::int64_t>(request, "max_tokens", 0);
+    const auto limit = member_or<std::int64_t>(request, "max_tokens", 0);
     added.total = limit > 0 ? std::min(added.total, limit) : added.total;
     if (leaving_)
     {
@@ -181,14 +183,14 @@
 nlohmann::json engine_model::order(const nlohmann::json& order)
 {
     const std::lock_guard lock{mutex_};
-    const auto fence = field_or<std::int64_t>(order, "fence", 0);
+    const auto fence = member_or<std::int64_t>(order, "fence", 0);
     if (fence < fence_ && !options_.ignores_fencing)
     {
         return {{"accepted", false}, {"fence", fence_}};
     }
     fence_ = std::max(fence_, fence);
-    const std::string action = field_or<std::string>(order, "action", "");
-    const std::string model = field_or<std::string>(order, "model", "");
+    const std::string action = member_or<std::string>(order, "action", "");
+    const std::string model = member_or<std::string>(order, "model", "");
     if (action == "load_model" && models_.count(model) == 0 && loads_.size() < 64)
     {
         loads_.push_back({now_ms() + options_.load_ms, model});
@@ -199,7 +201,7 @@
     }
     else if (action == "set_role")
     {
-        role_ = field_or<std::string>(order, "role", role_);
+        role_ = member_or<std::string>(order, "role", role_);
     }
     return {{"accepted", true}, {"fence", fence_}};
 }
--- a/apps/standins/http_server.hpp
+++ b/apps/standins/http_server.hpp
@@ -4,10 +4,9 @@
 #include <boost/beast/http.hpp>  // request, string_body
 #include <nlohmann/json.hpp>     // json
 
-#include <cstdint>     // int64_t
-#include <functional>  // function
-#include <string>      // string
-#include <type_traits> // is_arithmetic_v, is_same_v
+#include <cstdint>    // int64_t
+#include <functional> // function
+#include <string>     // string
 
 namespace parsleyshift::standins
 {
@@ -80,27 +79,4 @@
 /// @brief Milliseconds since the epoch.
 std::int64_t now_ms();
 
-/// @brief A JSON field of a type, or the fallback when it is absent or of another type.
-template <class T>
-T field_or(const nlohmann::json& object, const std::string& name, T fallback)
-{
-    const auto found = object.is_object() ? object.find(name) : object.end();
-    if (!object.is_object() || found == object.end())
-    {
-        return fallback;
-    }
-    if constexpr (std::is_same_v<T, bool>)
-    {
-        return found->is_boolean() ? found->get<bool>() : fallback;
-    }
-    else if constexpr (std::is_arithmetic_v<T>)
-    {
-        return found->is_number() ? found->get<T>() : fallback;
-    }
-    else
-    {
-        return found->is_string() ? found->get<T>() : fallback;
-    }
-}
-
 } // namespace parsleyshift::standins
--- a/apps/standins/list.cpp
+++ b/apps/standins/list.cpp
@@ -1,6 +1,8 @@
 #include "http_server.hpp" // serve, exchange
 #include "standin.hpp"     // run_list
 
+#include <parsleyshift/client/json_member.hpp> // member_or
+
 #include <chrono>     // milliseconds
 #include <deque>      // deque
 #include <filesystem> // last_write_time
@@ -39,7 +41,7 @@
         }
         else if (call.is("POST", "/admin"))
         {
-            lag_ms_ = field_or<std::int64_t>(call.body(), "lag_ms", lag_ms_);
+            lag_ms_ = member_or<std::int64_t>(call.body(), "lag_ms", lag_ms_);
             call.reply(200, {{"lag_ms", lag_ms_}});
         }
         else
@@ -112,7 +114,7 @@
         }
         for (const nlohmann::json& row : parsed["instances"])
         {
-            changes_.push_back({now_ms() + lag_ms_, field_or<std::string>(row, "id", ""), row});
+            changes_.push_back({now_ms() + lag_ms_, member_or<std::string>(row, "id", ""), row});
         }
     }
 
--- a/apps/standins/plain.cpp
+++ b/apps/standins/plain.cpp
@@ -2,6 +2,8 @@
 #include "http_server.hpp" // serve, exchange
 #include "standin.hpp"     // run_plain
 
+#include <parsleyshift/client/json_member.hpp> // member_or
+
 #include <chrono>   // milliseconds
 #include <cstdlib>  // quick_exit
 #include <deque>    // deque
@@ -90,7 +92,7 @@
     void run(exchange& call)
     {
         const nlohmann::json request = call.body();
-        const std::string operation = field_or<std::string>(request, "operation", "");
+        const std::string operation = member_or<std::string>(request, "operation", "");
         if (operation.empty() || !request.contains("payload"))
         {
             call.reply(400, {{"not_started", true}, {"message", "operation and payload are needed"}});
@@ -113,8 +115,8 @@
     /// The deadline and the key are checked at the moment of execution, as a careful endpoint does.
     void execute(exchange& call, const nlohmann::json& request, const std::string& fault)
     {
-        const std::string key = field_or<std::string>(request, "key", "");
-        const auto not_after = field_or<std::int64_t>(request, "not_after_ms", 0);
+        const std::string key = member_or<std::string>(request, "key", "");
+        const auto not_after = member_or<std::int64_t>(request, "not_after_ms", 0);
         if (not_after > 0 && now_ms() > not_after)
         {
             call.reply(503, {{"not_started", true}, {"message", "the send deadline has passed"}});
@@ -196,7 +198,7 @@
     void administer(exchange& call)
     {
         const nlohmann::json request = call.body();
-        const std::string action = field_or<std::string>(request, "action", "");
+        const std::string action = member_or<std::string>(request, "action", "");
         if (action == "die")
         {
             std::quick_exit(70);
@@ -208,9 +210,9 @@
         else if (action == "faults")
         {
             const std::lock_guard lock{mutex_};
-            faults_.delay_ms = field_or<std::int64_t>(request, "delay_ms", faults_.delay_ms);
-            faults_.fault = field_or<std::string>(request, "fault", "");
-            faults_.fault_count = field_or<std::int64_t>(request, "count", 1);
+            faults_.delay_ms = member_or<std::int64_t>(request, "delay_ms", faults_.delay_ms);
+            faults_.fault = member_or<std::string>(request, "fault", "");
+            faults_.fault_count = member_or<std::int64_t>(request, "count", 1);
         }
         else
         {
