--- a/libs/decision_core/src/fleet_manager.cpp
+++ b/libs/decision_core/src/fleet_manager.cpp
@@ -230,6 +230,8 @@
     set_limits();
     pools_.records_changed();
     planner_.set_configuration(state_.records.placement(), state_.now);
+    // A new service can have endpoints that were listed before its record came into force.
+    topology_changed_ = true;
 }
 
 void fleet_manager::set_limits()
--- a/libs/decision_core/src/generation.hpp
+++ b/libs/decision_core/src/generation.hpp
@@ -3,8 +3,8 @@
 #include "core_state.hpp"   // core_state
 #include "pool_manager.hpp" // pool_manager
 
-#include <parsleyshift/streams/outcome_tracker.hpp>    // outcome_tracker
-#include <parsleyshift/streams/token_cursor.hpp>       // token_cursor
+#include <parsleyshift/streams/outcome_tracker.hpp> // outcome_tracker
+#include <parsleyshift/streams/token_cursor.hpp>    // token_cursor
 
 #include <memory>   // unique_ptr
 #include <optional> // optional
--- a/scenarios/fleet/fake_fleet.cpp
+++ b/scenarios/fleet/fake_fleet.cpp
@@ -22,9 +22,7 @@
 
 } // namespace
 
-fake_fleet::fake_fleet(std::uint64_t seed) : random_(seed), seed_(seed)
-{
-}
+fake_fleet::fake_fleet(std::uint64_t seed) : random_(seed), seed_(seed) {}
 
 void fake_fleet::later(duration wait, std::function<void()> what)
 {
@@ -71,8 +69,8 @@
     target.watched.clear();
     target.timer = never;
     feed(target.settings.name, target.incarnation, timer_expired{});
-    later(random_.jittered(duration{1}, 100.0), [this, name = target.settings.name, own = target.incarnation]
-          { poll(name, own); });
+    later(random_.jittered(duration{1}, 100.0),
+          [this, name = target.settings.name, own = target.incarnation] { poll(name, own); });
 }
 
 void fake_fleet::feed(const std::string& name, std::uint64_t incarnation, event what)
@@ -109,7 +107,8 @@
         return;
     }
     target.timer = std::max(next, now_ + duration{1});
-    later(target.timer - now_, [this, name = target.settings.name, own = target.incarnation, due = target.timer]
+    later(target.timer - now_,
+          [this, name = target.settings.name, own = target.incarnation, due = target.timer]
           {
               if (instances_.at(name).timer == due)
               {
@@ -128,15 +127,17 @@
     if (!is_cut(name, "list"))
     {
         const auto list = current_list();
-        later(list_lag_, [this, name, incarnation, as_of = now_, list]
-              { feed(name, incarnation, instances_listed{as_of, list}); });
+        later(list_lag_,
+              [this, name, incarnation, as_of = now_, list] {
+                  feed(name, incarnation, instances_listed{as_of, list});
+              });
     }
     for (const auto& endpoint : target.watched)
     {
         const auto& known = *endpoints_.at(endpoint);
         const bool reachable = known.alive() && !is_cut(name, endpoint) && !is_cut(endpoint, name);
-        const event what = reachable ? event{load_reported{known.report(now_)}}
-                                     : event{load_unavailable{endpoint_id{endpoint}}};
+        const event what =
+            reachable ? event{load_reported{known.report(now_)}} : event{load_unavailable{endpoint_id{endpoint}}};
         later(duration{2}, [this, name, incarnation, what] { feed(name, incarnation, what); });
     }
     later(poll_interval, [this, name, incarnation] { poll(name, incarnation); });
@@ -149,8 +150,14 @@
     {
         if (known.core != nullptr)
         {
-            list.push_back({name, instance_role::entry, {}, "callers:" + name, peer_address_of(name),
-                            zone_id{known.settings.availability_zone}, region_id{known.settings.region}, false});
+            list.push_back({name,
+                            instance_role::entry,
+                            {},
+                            "callers:" + name,
+                            peer_address_of(name),
+                            zone_id{known.settings.availability_zone},
+                            region_id{known.settings.region},
+                            false});
         }
     }
     for (const auto& [name, known] : endpoints_)
@@ -158,9 +165,14 @@
         const auto& settings = known->settings();
         if (known->alive())
         {
-            list.push_back({name, settings.engine ? instance_role::engine : instance_role::plain,
-                            service_id{settings.service}, "endpoint:" + name, {}, zone_id{settings.availability_zone},
-                            region_id{settings.region}, known->leaving()});
+            list.push_back({name,
+                            settings.engine ? instance_role::engine : instance_role::plain,
+                            service_id{settings.service},
+                            "endpoint:" + name,
+                            {},
+                            zone_id{settings.availability_zone},
+                            region_id{settings.region},
+                            known->leaving()});
         }
     }
     return list;
@@ -173,11 +185,14 @@
         const instance& target = instances_.at(to);
         if (!is_cut(name, to))
         {
-            later(delay(region, target.settings.region), [this, to, own = target.incarnation, what = std::move(what)]
-                  { feed(to, own, what); });
+            later(delay(region, target.settings.region),
+                  [this, to, own = target.incarnation, what = std::move(what)] { feed(to, own, what); });
         }
     };
-    const auto schedule = [this](duration wait, std::function<void()> what) { later(wait, std::move(what)); };
+    const auto schedule = [this](duration wait, std::function<void()> what)
+    {
+        later(wait, std::move(what));
+    };
     endpoints_[settings.name] = std::make_unique<fake_endpoint>(settings, seen_, reply, schedule);
 }
 
@@ -189,10 +204,9 @@
 duration fake_fleet::delay(const std::string& from_region, const std::string& to_region)
 {
     const duration base = from_region == to_region ? links.delay : links.delay_between_regions;
-    return links.jitter.count() == 0
-               ? base
-               : base + duration{static_cast<std::int64_t>(
-                            random_.index(static_cast<std::size_t>(links.jitter.count()) + 1))};
+    return links.jitter.count() == 0 ? base
+                                     : base + duration{static_cast<std::int64_t>(
+                                                  random_.index(static_cast<std::size_t>(links.jitter.count()) + 1))};
 }
 
 void fake_fleet::carry_out(instance& from, action& wanted)
@@ -209,8 +223,10 @@
         {
             to_endpoint(from, what.endpoint.value(), what.attempt, what.not_after,
                         [this, who = from.settings.name, what](fake_endpoint& at) { at.call(who, what, now_); });
-            later(what.answer_by - now_, [this, who = from.settings.name, own = from.incarnation, id = what.attempt]
-                  { feed(who, own, attempt_failed{id, attempt_failure::link_broken, "no answer in time"}); });
+            later(what.answer_by - now_,
+                  [this, who = from.settings.name, own = from.incarnation, id = what.attempt] {
+                      feed(who, own, attempt_failed{id, attempt_failure::link_broken, "no answer in time"});
+                  });
         }
         else if constexpr (std::is_same_v<type, resume_generation>)
         {
@@ -313,7 +329,9 @@
     const std::uint64_t own = from.incarnation;
     fake_endpoint& target = *endpoints_.at(endpoint);
     const auto fail = [this, name, own, attempt](attempt_failure why)
-    { feed(name, own, attempt_failed{attempt, why, {}}); };
+    {
+        feed(name, own, attempt_failed{attempt, why, {}});
+    };
     if (now_ > not_after)
     {
         later(duration{0}, [fail] { fail(attempt_failure::deadline_passed); });
@@ -395,7 +413,8 @@
     for (const auto& added : watches_)
     {
         const bool handled = added.until <= now_ || !changes_after(added.after).records.empty();
-        const bool known = std::any_of(waiting.begin(), waiting.end(), [&](const watch& other)
+        const bool known = std::any_of(waiting.begin(), waiting.end(),
+                                       [&](const watch& other)
                                        { return other.instance == added.instance && other.until == added.until; });
         if (!handled && !known)
         {
@@ -495,9 +514,9 @@
     target.paused = false;
     auto waiting = std::move(target.waiting);
     target.waiting.clear();
-    for (const auto& step : waiting)
+    for (const auto& deliver : waiting)
     {
-        step();
+        deliver();
     }
 }
 
@@ -573,7 +592,9 @@
 std::uint64_t fake_fleet::mint(const std::string& name, const std::string& customer, const std::string& service)
 {
     return ask(name, "mint", {},
-               [&](request_id id) { return key_request{id, customer_id{customer}, service_id{service}}; });
+               [&](request_id id) {
+                   return key_request{id, customer_id{customer}, service_id{service}};
+               });
 }
 
 void fake_fleet::disconnect(std::uint64_t request)
@@ -652,8 +673,7 @@
     {
         return found == std::string::npos;
     }
-    return found != std::string::npos &&
-           std::stoull(records.substr(found + named.size())) == written.changed.value();
+    return found != std::string::npos && std::stoull(records.substr(found + named.size())) == written.changed.value();
 }
 
 bool fake_fleet::stopped(const std::string& name) const
