--- a/scenarios/fleet/fake_fleet.cpp
+++ b/scenarios/fleet/fake_fleet.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>   // max, min
 #include <type_traits> // decay_t, is_same_v
-#include <utility>     // move
+#include <utility>     // exchange, move
 #include <variant>     // visit
 
 namespace parsleyshift::scenarios
@@ -398,30 +398,18 @@
 
 void fake_fleet::answer_watches()
 {
-    std::vector<watch> waiting;
-    for (const auto& known : watches_)
+    // Feeding an answer can add watches, so the list is taken first.
+    const std::vector<watch> taken = std::exchange(watches_, {});
+    for (const auto& known : taken)
     {
         const auto answer = changes_after(known.after);
         if (answer.records.empty() && known.until > now_)
         {
-            waiting.push_back(known);
+            watches_.push_back(known);
             continue;
         }
         feed(known.instance, known.incarnation, answer);
     }
-    // Feeding can add watches; those that were waiting go first.
-    for (const auto& added : watches_)
-    {
-        const bool handled = added.until <= now_ || !changes_after(added.after).records.empty();
-        const bool known = std::any_of(waiting.begin(), waiting.end(),
-                                       [&](const watch& other)
-                                       { return other.instance == added.instance && other.until == added.until; });
-        if (!handled && !known)
-        {
-            waiting.push_back(added);
-        }
-    }
-    watches_ = std::move(waiting);
 }
 
 configuration_received fake_fleet::changes_after(revision after) const
