--- a/bench/policy/engine_model.hpp
+++ b/bench/policy/engine_model.hpp
@@ -13,12 +13,12 @@
 /// @brief Sizes and speeds of an engine.
 struct engine_shape
 {
-    std::int64_t slots = 32;
+    std::int64_t slots = 24;
     /// Tokens of prompt and output that fit into memory.
-    std::int64_t memory = 24'000;
+    std::int64_t memory = 14'000;
     microseconds step_base = 12'000;
     /// Time that each stream of the batch adds to a step.
-    microseconds step_per_stream = 600;
+    microseconds step_per_stream = 500;
     microseconds prefill_per_token = 60;
     /// Prompt tokens that one step takes in at most; the first prompt is always taken.
     std::int64_t prefill_limit = 2'048;
--- a/bench/policy/gap_health.hpp
+++ b/bench/policy/gap_health.hpp
@@ -2,7 +2,8 @@
 
 #include "job.hpp" // microseconds
 
-#include <algorithm> // clamp, nth_element
+#include <algorithm> // clamp, nth_element, sort
+#include <array>     // array
 #include <cstddef>   // size_t
 #include <vector>    // vector
 
@@ -23,9 +24,13 @@
 
     void observe(std::size_t engine, microseconds gap, microseconds now)
     {
-        constexpr double gain = 0.25;
         observation& seen = seen_[engine];
-        seen.gap += gain * (static_cast<double>(gap) - seen.gap);
+        seen.recent[seen.next] = static_cast<double>(gap);
+        seen.next = (seen.next + 1) % seen.recent.size();
+        // The middle of three, so that one step that takes in many prompts does not count as slowness.
+        std::array<double, 3> sorted = seen.recent;
+        std::sort(sorted.begin(), sorted.end());
+        seen.gap = sorted[1];
         seen.at = now;
     }
     /// @return 1 healthy, 0 ejected; an idle engine is trusted again after a while
@@ -46,6 +51,8 @@
   private:
     struct observation
     {
+        std::array<double, 3> recent{};
+        std::size_t next = 0;
         double gap = 0.0;
         microseconds at = 0;
     };
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -61,23 +61,29 @@
     return run;
 }
 
-/// @brief Requests per second that each pool completes under a persistent backlog, with patient callers and the
-/// first_come_first_served baseline.
+/// @brief Requests per second that each pool can complete: the tokens per second of the oracle under a persistent
+/// backlog with patient callers, divided by the mean output of the offered requests.
 capacities measure_capacity(const deployment& where)
 {
-    const capacities offered{200.0, 200.0};
-    const auto run = simulate<first_come_first_served>(where, scenario::saturated, offered, 1);
+    const capacities offered{250.0, 250.0};
+    const auto run = simulate<oracle>(where, scenario::saturated, offered, 1);
     capacities completed{};
+    capacities offered_tokens{};
+    capacities offered_count{};
     for (const job& work : run->jobs())
     {
         const bool counts = work.finished >= warm_up && work.finished < arrivals_end;
-        completed[work.pool] += counts ? 1.0 : 0.0;
+        completed[work.pool] += counts ? static_cast<double>(work.length) : 0.0;
+        offered_tokens[work.pool] += static_cast<double>(work.length);
+        offered_count[work.pool] += 1.0;
     }
-    for (double& rate : completed)
+    capacities rate{};
+    for (std::size_t pool = 0; pool < pool_count; ++pool)
     {
-        rate /= static_cast<double>((arrivals_end - warm_up) / one_second);
+        const double tokens_per_second = completed[pool] / static_cast<double>((arrivals_end - warm_up) / one_second);
+        rate[pool] = tokens_per_second * offered_count[pool] / offered_tokens[pool];
     }
-    return completed;
+    return rate;
 }
 
 struct named_policy
--- a/bench/policy/scheduler_policy.hpp
+++ b/bench/policy/scheduler_policy.hpp
@@ -22,7 +22,7 @@
     using queue = fair_queue;
     static constexpr bool health = true;
     static constexpr bool per_customer = true;
-    static constexpr double zone_preference = 0.1;
+    static constexpr double zone_preference = 0.3;
     static scheduler_settings settings()
     {
         return {};
@@ -175,8 +175,8 @@
         ++generation_;
         scheduler_.emplace(pool_id{"pool"}, Mechanisms::settings(), lengths_, seed_ + generation_, world_.clock(),
                            same_region{Mechanisms::zone_preference});
-        scheduler_->set_class(priority_record{class_id{"long"}, 0, lane::shared, 600, duration{30'000}, false});
-        scheduler_->set_class(priority_record{class_id{"short"}, 1, lane::reserved, 600, duration{3'000}, false});
+        scheduler_->set_class(priority_record{class_id{"long"}, 0, lane::shared, 2000, duration{30'000}, false});
+        scheduler_->set_class(priority_record{class_id{"short"}, 1, lane::reserved, 2000, duration{3'000}, false});
         for (std::size_t engine = 0; engine < weights_.size(); ++engine)
         {
             scheduler_->add_endpoint(name_of_engine(engine), world_.clock());
--- a/bench/policy/workload.cpp
+++ b/bench/policy/workload.cpp
@@ -1,8 +1,8 @@
 #include "workload.hpp" // make_jobs
 
-#include <algorithm> // clamp, sort
+#include <algorithm> // clamp, stable_sort
 #include <cmath>     // exp, log
-#include <random>    // exponential_distribution, lognormal_distribution, mt19937_64
+#include <random>    // exponential_distribution, geometric_distribution, lognormal_distribution, mt19937_64
 
 namespace parsleyshift::bench
 {
@@ -31,9 +31,9 @@
     case scenario::scheduler_loss:
         return crest ? 3.0 : 0.6;
     case scenario::stragglers:
-        return 0.6;
+        return 0.85;
     case scenario::slowed:
-        return 0.55;
+        return 0.7;
     case scenario::flood:
         return crest ? 2.0 : 0.6;
     case scenario::saturated:
@@ -47,27 +47,25 @@
   public:
     job_maker(const deployment& where, scenario what, std::uint64_t seed) : where_(where), what_(what), engine_(seed) {}
 
-    job make(std::size_t pool, microseconds now)
+    /// @brief Adds one short request, or a batch of long ones that a customer submits together.
+    void add(std::size_t pool, microseconds now, std::vector<job>& jobs)
     {
-        job made;
-        made.pool = pool;
-        made.arrived = now;
-        made.customer = choose_customer(now);
+        const std::size_t customer = choose_customer(now);
         // A customer's requests arrive at the entry instances of its shard.
-        made.entry = (made.customer * 7 + engine_() % shard_size * 3) % entry_count;
-        made.is_long = pool == 0 && fraction() < where_.long_share;
-        const double factor = made.is_long ? customer_length[made.customer] : 1.0;
-        const double median = made.is_long ? where_.long_median * factor : 16.0;
-        std::lognormal_distribution<double> length{std::log(median), made.is_long ? where_.long_spread : 0.5};
-        made.length = std::clamp<std::int64_t>(static_cast<std::int64_t>(length(engine_)), 2, 6'000);
-        made.prompt = made.is_long ? 150 + static_cast<std::int64_t>(engine_() % 100) : 60;
-        made.straggler = what_ == scenario::stragglers && made.is_long && fraction() < straggler_share;
-        if (made.straggler)
+        const std::size_t entry = (customer * 7 + engine_() % shard_size * 3) % entry_count;
+        const bool is_long = pool == 0 && fraction() < batch_share();
+        std::geometric_distribution<int> more{1.0 / where_.long_batch};
+        const int size = is_long ? 1 + more(engine_) : 1;
+        for (int number = 0; number < size; ++number)
         {
-            made.length = static_cast<std::int64_t>(50.0 * where_.long_median);
+            jobs.push_back(make(pool, is_long, customer, now + number * batch_spacing));
+            jobs.back().entry = entry;
         }
-        set_deadlines(made);
-        return made;
+    }
+    /// @brief Requests per call of add(), on average.
+    [[nodiscard]] double requests_per_call(std::size_t pool) const
+    {
+        return pool == 0 ? 1.0 + batch_share() * (where_.long_batch - 1.0) : 1.0;
     }
     microseconds next_gap(double per_second)
     {
@@ -80,8 +78,35 @@
     }
 
   private:
-    static constexpr double straggler_share = 0.0015;
+    static constexpr double straggler_share = 0.002;
+    static constexpr microseconds batch_spacing = 20 * one_ms;
 
+    /// @brief Share of calls of add() that make a batch, so that long_share of the requests are long.
+    [[nodiscard]] double batch_share() const
+    {
+        const double share = where_.long_share;
+        return share / (where_.long_batch * (1.0 - share) + share);
+    }
+    job make(std::size_t pool, bool is_long, std::size_t customer, microseconds now)
+    {
+        job made;
+        made.pool = pool;
+        made.arrived = now;
+        made.customer = customer;
+        made.is_long = is_long;
+        const double factor = made.is_long ? customer_length[made.customer] : 1.0;
+        const double median = made.is_long ? where_.long_median * factor : 10.0;
+        std::lognormal_distribution<double> length{std::log(median), made.is_long ? where_.long_spread : 0.3};
+        made.length = std::clamp<std::int64_t>(static_cast<std::int64_t>(length(engine_)), 2, 6'000);
+        made.prompt = made.is_long ? 150 + static_cast<std::int64_t>(engine_() % 100) : 60;
+        made.straggler = what_ == scenario::stragglers && made.is_long && fraction() < straggler_share;
+        if (made.straggler)
+        {
+            made.length = static_cast<std::int64_t>(50.0 * where_.long_median);
+        }
+        set_deadlines(made);
+        return made;
+    }
     std::size_t choose_customer(microseconds now)
     {
         const bool crest = now >= crest_begin && now < crest_end;
@@ -140,9 +165,9 @@
     lapviz.zones = {"kiskunsag", "hortobagy", "zirc"};
     lapviz.zone_delay = 1'000;
     lapviz.engines = {14, 3};
-    lapviz.long_median = 400.0;
+    lapviz.long_median = 300.0;
     lapviz.long_spread = 0.8;
-    lapviz.shapes[0].memory = 28'000;
+    lapviz.shapes[0].memory = 17'000;
     return {okonkwo, lapviz};
 }
 
@@ -159,15 +184,17 @@
             peak = std::max(peak, load_at(what, at));
         }
         // Thinning of a process at the peak rate.
-        for (microseconds now = 0; now < arrivals_end; now += maker.next_gap(peak * capacity[pool]))
+        for (microseconds now = 0; now < arrivals_end;
+             now += maker.next_gap(peak * capacity[pool] / maker.requests_per_call(pool)))
         {
             if (maker.fraction() * peak < load_at(what, now))
             {
-                jobs.push_back(maker.make(pool, now));
+                maker.add(pool, now, jobs);
             }
         }
     }
-    std::sort(jobs.begin(), jobs.end(), [](const job& left, const job& right) { return left.arrived < right.arrived; });
+    std::stable_sort(jobs.begin(), jobs.end(),
+                     [](const job& left, const job& right) { return left.arrived < right.arrived; });
     for (std::size_t number = 0; number < jobs.size(); ++number)
     {
         jobs[number].number = number + 1;
@@ -177,8 +204,8 @@
 
 double speed_of(scenario what, std::size_t engine, std::size_t engines, microseconds now)
 {
-    constexpr microseconds period = 20 * one_second;
-    constexpr microseconds moment = 8 * one_second;
+    constexpr microseconds period = 30 * one_second;
+    constexpr microseconds moment = 12 * one_second;
     if (what != scenario::slowed || now < warm_up || now % period >= moment)
     {
         return 1.0;
--- a/bench/policy/workload.hpp
+++ b/bench/policy/workload.hpp
@@ -37,9 +37,11 @@
     /// Engines per pool: the pool of long work, which runs short work too, and the pool of short work.
     std::array<std::size_t, 2> engines{};
     std::array<engine_shape, 2> shapes{};
-    double long_median = 320.0;
+    double long_median = 240.0;
     double long_spread = 0.7;
     double long_share = 0.3;
+    /// Long requests that one customer submits together, on average.
+    double long_batch = 10.0;
 
     /// @brief One-way delay between two zones.
     [[nodiscard]] microseconds delay(std::size_t from, std::size_t to) const;
