--- a/libs/entry/tests/token_codec_test.cpp
+++ b/libs/entry/tests/token_codec_test.cpp
@@ -142,12 +142,14 @@
     const std::string entry = codec.encode(some_entry()).value();
     const std::string continuation = codec.encode(some_continuation()).value();
     const std::string order_key = codec.encode(some_order_key()).value();
-    CHECK(codec.decode_continuation(entry, before).has_error());
-    CHECK(codec.decode_order_key(entry, before).has_error());
-    CHECK(codec.decode_entry(continuation).has_error());
-    CHECK(codec.decode_order_key(continuation, before).has_error());
-    CHECK(codec.decode_entry(order_key).has_error());
-    CHECK(codec.decode_continuation(order_key, before).has_error());
+    // The type is refused before the payload is read, which could by chance be one of the other type as well.
+    const error refused = make_error(error_kind::invalid_token, "token: of another type");
+    CHECK(codec.decode_continuation(entry, before).error() == refused);
+    CHECK(codec.decode_order_key(entry, before).error() == refused);
+    CHECK(codec.decode_entry(continuation).error() == refused);
+    CHECK(codec.decode_order_key(continuation, before).error() == refused);
+    CHECK(codec.decode_entry(order_key).error() == refused);
+    CHECK(codec.decode_continuation(order_key, before).error() == refused);
 }
 
 // Guards against a rotation that invalidates tokens in use, and against a removed key that still verifies.
--- a/libs/quarantine/include/parsleyshift/quarantine/suspicion.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/suspicion.hpp
@@ -4,7 +4,6 @@
 #include <parsleyshift/core/ids.hpp>      // endpoint_id, fingerprint
 #include <parsleyshift/messages/peer.hpp> // quarantine_notice
 
-#include <compare> // strong_ordering
 #include <cstddef> // size_t
 #include <vector>  // vector
 
@@ -46,7 +45,11 @@
         time_point when;
         endpoint_id endpoint;
 
-        friend auto operator<=>(const observation&, const observation&) = default;
+        friend bool operator==(const observation&, const observation&) = default;
+        friend bool operator<(const observation& left, const observation& right)
+        {
+            return left.when != right.when ? left.when < right.when : left.endpoint < right.endpoint;
+        }
     };
 
     /// In ascending order.
--- a/libs/quarantine/tests/crash_quarantine_test.cpp
+++ b/libs/quarantine/tests/crash_quarantine_test.cpp
@@ -110,7 +110,7 @@
         const bool clear = quarantine.verdict(picked.request, now_) == run_verdict::clear;
         const std::vector<endpoint_id> choice =
             clear ? endpoints_ : suspect_share(endpoints_, instances_, instances_[instance]);
-        const endpoint_id endpoint = choice[random.index(choice.size())];
+        const endpoint_id& endpoint = choice[random.index(choice.size())];
         if (!quarantine.may_run(picked.request, endpoint, now_))
         {
             return;
@@ -395,9 +395,9 @@
                                      }
                                      for (const endpoint_id& endpoint : endpoints)
                                      {
-                                         const std::size_t most = (count + size - 1) / size;
-                                         RC_ASSERT(given.count(endpoint) >= 1);
-                                         RC_ASSERT(given.count(endpoint) <= most);
+                                         const std::size_t holders = given.count(endpoint);
+                                         RC_ASSERT(holders >= 1);
+                                         RC_ASSERT((holders - 1) * size < count);
                                      }
                                  });
 }
--- a/libs/routing/tests/endpoint_chooser_test.cpp
+++ b/libs/routing/tests/endpoint_chooser_test.cpp
@@ -119,7 +119,8 @@
         pool.candidates[pool.chosen(random)].load.requests += 1;
         CHECK(pool.candidates[3].load.requests <= 1.25 * (sent + 1 + 8) / 8.0 + 1);
     }
-    CHECK(pool.candidates[3].load.requests >= 200 / 8);
+    // At least its even share of the 200.
+    CHECK(pool.candidates[3].load.requests >= 25);
 }
 
 // Guards against an endpoint under suspicion that gets all work because it is idle, and against one that gets none and
--- a/libs/routing/tests/endpoint_health_test.cpp
+++ b/libs/routing/tests/endpoint_health_test.cpp
@@ -135,6 +135,16 @@
                                  });
 }
 
+// Guards against ejections in a pool of unlike endpoints, of which the slowest is no outlier: two and a half times the
+// median, but less than three robust deviations from it.
+TEST(endpoint_health, the_slowest_of_unlike_endpoints_is_not_ejected)
+{
+    streaming_pool streams{7};
+    streams.slowness = {1.0, 1.4, 2.0, 2.8, 4.0, 5.6, 7.0};
+    streams.run(10_s);
+    LONGS_EQUAL(0, streams.ejected());
+}
+
 // Guards against an ejection of so many endpoints that the others are overloaded, however many are slow or failing.
 TEST(endpoint_health, the_ceiling_holds)
 {
@@ -192,6 +202,7 @@
     {
         streams.run(100_ms);
         CHECK(streams.health.state(engine(0)) != health_state::healthy);
+        CHECK(streams.health.state(engine(0)) != health_state::recovering);
         probing += streams.health.state(engine(0)) == health_state::probing ? 1 : 0;
     }
     CHECK(probing > 0);
@@ -245,4 +256,15 @@
     }
     CHECK(health.state(engine(2)) != health_state::healthy);
     CHECK(health.state(engine(0)) == health_state::healthy);
+    // Probes so rare that their decayed number never suffices for a comparison still decide.
+    time_point now = at_ms(50'000);
+    health.evaluate(now);
+    CHECK(health.state(engine(2)) == health_state::probing);
+    for (int probe = 0; probe < 3; ++probe)
+    {
+        now += 10_s;
+        health.first_token(engine(2), 200_ms, now);
+        health.evaluate(now);
+    }
+    CHECK(health.state(engine(2)) == health_state::ejected);
 }
