--- a/libs/routing/include/parsleyshift/routing/endpoint_health.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_health.hpp
@@ -3,6 +3,7 @@
 #include <parsleyshift/core/clock.hpp>           // duration, time_point
 #include <parsleyshift/core/ids.hpp>             // endpoint_id, pool_id
 #include <parsleyshift/core/name_table.hpp>      // enum_names
+#include <parsleyshift/messages/peer.hpp>        // endpoint_health_notice
 #include <parsleyshift/routing/decayed_mean.hpp> // decayed_mean
 
 #include <array>         // array
@@ -121,6 +122,9 @@
     /// @brief Share of its usual work that an endpoint should get, 0 to 1; 1 for an unknown one. O(1) on average.
     [[nodiscard]] double weight(const endpoint_id& endpoint, time_point now) const;
     [[nodiscard]] health_state state(const endpoint_id& endpoint) const;
+    /// @brief Notices for the pools' schedulers about endpoints whose weight is below 1. O(endpoints).
+    /// @param valid time after which a notice that is not renewed expires
+    [[nodiscard]] std::vector<endpoint_health_notice> notices(time_point now, duration valid) const;
 
   private:
     struct patient
--- a/libs/routing/src/endpoint_health.cpp
+++ b/libs/routing/src/endpoint_health.cpp
@@ -351,6 +351,20 @@
     return seen.speed_weight;
 }
 
+std::vector<endpoint_health_notice> endpoint_health::notices(time_point now, duration valid) const
+{
+    std::vector<endpoint_health_notice> found;
+    for (const auto& [endpoint, seen] : patients_)
+    {
+        const double share = weight(endpoint, now);
+        if (share < 1.0)
+        {
+            found.push_back({seen.pool, endpoint, share, now + valid});
+        }
+    }
+    return found;
+}
+
 health_state endpoint_health::state(const endpoint_id& endpoint) const
 {
     const auto known = patients_.find(endpoint);
--- a/libs/routing/tests/endpoint_health_test.cpp
+++ b/libs/routing/tests/endpoint_health_test.cpp
@@ -2,6 +2,7 @@
 
 #include <parsleyshift/core/random_source.hpp>      // random_source
 #include <parsleyshift/routing/endpoint_health.hpp> // endpoint_health
+#include <parsleyshift/routing/peer_health.hpp>     // peer_health
 
 #include <string> // to_string
 
@@ -239,6 +240,35 @@
     DOUBLES_EQUAL(1.0, health.weight(engine(0), at_ms(6'400)), 0);
 }
 
+// Guards against one instance with a bad link that takes an endpoint out of service for all, and against reports that
+// count for ever or twice.
+TEST(endpoint_health, reports_of_peers_count_together_until_they_expire)
+{
+    streaming_pool streams{6};
+    streams.slowness[2] = 10.0;
+    streams.run(2_s);
+    const auto notices = streams.health.notices(streams.now, 5_s);
+    LONGS_EQUAL(1, notices.size());
+    CHECK(notices[0].endpoint == engine(2));
+
+    peer_health peers{4};
+    peers.hear(instance_id{"a"}, notices[0], streams.now);
+    peers.hear(instance_id{"a"}, notices[0], streams.now);
+    DOUBLES_EQUAL(0.5, peers.weight(engine(2), streams.now), 0);
+    for (const char* sender : {"b", "c", "d", "beyond the bound"})
+    {
+        peers.hear(instance_id{sender}, notices[0], streams.now);
+    }
+    DOUBLES_EQUAL(0.2, peers.weight(engine(2), streams.now), 1e-9);
+    DOUBLES_EQUAL(1.0, peers.weight(engine(1), streams.now), 0);
+    DOUBLES_EQUAL(1.0, peers.weight(engine(2), streams.now + 5_s), 0);
+    peers.purge(streams.now + 5_s);
+    peers.hear(instance_id{"e"}, {pool, engine(2), 0.0, streams.now + 9_s}, streams.now + 5_s);
+    DOUBLES_EQUAL(0.5, peers.weight(engine(2), streams.now + 5_s), 0);
+    peers.forget(engine(2));
+    DOUBLES_EQUAL(1.0, peers.weight(engine(2), streams.now + 5_s), 0);
+}
+
 // Guards against rare short answers that never count because token gaps are forgotten within a second.
 TEST(endpoint_health, slow_answers_of_a_plain_service_are_noticed)
 {
