--- a/libs/routing/tests/endpoint_health_test.cpp
+++ b/libs/routing/tests/endpoint_health_test.cpp
@@ -2,6 +2,7 @@
 
 #include <parsleyshift/core/random_source.hpp>      // random_source
 #include <parsleyshift/routing/endpoint_health.hpp> // endpoint_health
+#include <parsleyshift/routing/peer_health.hpp>     // peer_health
 
 #include <string> // to_string
 
@@ -135,6 +136,16 @@
                                  });
 }
 
+// Guards against ejections in a pool of unlike endpoints, of which the slowest is no outlier: two and a half times the
+// median, but less than three robust deviations from it.
+TEST(endpoint_health, the_slowest_of_unlike_endpoints_is_not_ejected)
+{
+    streaming_pool streams{7};
+    streams.slowness = {1.0, 1.4, 2.0, 2.8, 4.0, 5.6, 7.0};
+    streams.run(10_s);
+    LONGS_EQUAL(0, streams.ejected());
+}
+
 // Guards against an ejection of so many endpoints that the others are overloaded, however many are slow or failing.
 TEST(endpoint_health, the_ceiling_holds)
 {
@@ -192,6 +203,7 @@
     {
         streams.run(100_ms);
         CHECK(streams.health.state(engine(0)) != health_state::healthy);
+        CHECK(streams.health.state(engine(0)) != health_state::recovering);
         probing += streams.health.state(engine(0)) == health_state::probing ? 1 : 0;
     }
     CHECK(probing > 0);
@@ -228,6 +240,35 @@
     DOUBLES_EQUAL(1.0, health.weight(engine(0), at_ms(6'400)), 0);
 }
 
+// Guards against one instance with a bad link that takes an endpoint out of service for all, and against reports that
+// count for ever or twice.
+TEST(endpoint_health, reports_of_peers_count_together_until_they_expire)
+{
+    streaming_pool streams{6};
+    streams.slowness[2] = 10.0;
+    streams.run(2_s);
+    const auto notices = streams.health.notices(streams.now, 5_s);
+    LONGS_EQUAL(1, notices.size());
+    CHECK(notices[0].endpoint == engine(2));
+
+    peer_health peers{4};
+    peers.hear(instance_id{"a"}, notices[0], streams.now);
+    peers.hear(instance_id{"a"}, notices[0], streams.now);
+    DOUBLES_EQUAL(0.5, peers.weight(engine(2), streams.now), 0);
+    for (const char* sender : {"b", "c", "d", "beyond the bound"})
+    {
+        peers.hear(instance_id{sender}, notices[0], streams.now);
+    }
+    DOUBLES_EQUAL(0.2, peers.weight(engine(2), streams.now), 1e-9);
+    DOUBLES_EQUAL(1.0, peers.weight(engine(1), streams.now), 0);
+    DOUBLES_EQUAL(1.0, peers.weight(engine(2), streams.now + 5_s), 0);
+    peers.purge(streams.now + 5_s);
+    peers.hear(instance_id{"e"}, {pool, engine(2), 0.0, streams.now + 9_s}, streams.now + 5_s);
+    DOUBLES_EQUAL(0.5, peers.weight(engine(2), streams.now + 5_s), 0);
+    peers.forget(engine(2));
+    DOUBLES_EQUAL(1.0, peers.weight(engine(2), streams.now + 5_s), 0);
+}
+
 // Guards against rare short answers that never count because token gaps are forgotten within a second.
 TEST(endpoint_health, slow_answers_of_a_plain_service_are_noticed)
 {
@@ -245,4 +286,15 @@
     }
     CHECK(health.state(engine(2)) != health_state::healthy);
     CHECK(health.state(engine(0)) == health_state::healthy);
+    // Probes so rare that their decayed number never suffices for a comparison still decide.
+    time_point now = at_ms(50'000);
+    health.evaluate(now);
+    CHECK(health.state(engine(2)) == health_state::probing);
+    for (int probe = 0; probe < 3; ++probe)
+    {
+        now += 10_s;
+        health.first_token(engine(2), 200_ms, now);
+        health.evaluate(now);
+    }
+    CHECK(health.state(engine(2)) == health_state::ejected);
 }
