--- a/libs/configuration/include/parsleyshift/configuration/settings.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/settings.hpp
@@ -31,11 +31,11 @@
     /// Peers of the own region that a new record is pushed to.
     std::size_t push_peers = 3;
     /// Larger bodies are not pushed; the peers receive the digest at once and pull.
-    std::size_t largest_push_bytes = 16 * 1024;
+    std::size_t largest_push_bytes = 16'384;
     /// Changes pushed from one answer of the service; more are left to the digests.
     std::size_t most_pushed_records = 16;
     /// Bytes of the records in one message; a larger record travels alone.
-    std::size_t message_bytes = 256 * 1024;
+    std::size_t message_bytes = 262'144;
     /// Time between two messages of one answer to a pull.
     duration answer_interval{50};
     /// Pulls answered at the same time; more are dropped and asked again.
--- a/libs/configuration/tests/record_table_test.cpp
+++ b/libs/configuration/tests/record_table_test.cpp
@@ -65,8 +65,9 @@
             record_table second = table_of(records);
             RC_ASSERT((first.hashes() == second.hashes()));
             // Merging the state of another table, instead of its inputs, comes to the same.
-            const record_table partial = table_of({records.begin(), records.begin() + records.size() / 2});
-            record_table rest = table_of({records.begin() + records.size() / 2, records.end()});
+            const auto middle = records.begin() + static_cast<std::ptrdiff_t>(records.size() / 2);
+            const record_table partial = table_of({records.begin(), middle});
+            record_table rest = table_of({middle, records.end()});
             for (std::size_t bucket = 0; bucket < configuration_buckets; ++bucket)
             {
                 bucket_position position;
--- /dev/null
+++ b/libs/placement/tests/engine_room.hpp
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <parsleyshift/placement/placement_planner.hpp> // placement_planner
+
+#include <algorithm> // find, max
+#include <string>    // string, to_string
+#include <vector>    // vector
+
+namespace parsleyshift::test_support
+{
+
+/// @brief Engines in virtual time that execute the orders of several planners. An engine that loads serves nothing.
+struct engine_room
+{
+    struct engine
+    {
+        placement_endpoint where;
+        load_report state;
+        time_point occupied_until{};
+        model_id loading;
+        bool honours_fencing = true;
+    };
+
+    static member_update holder_of_slot(int slot)
+    {
+        member_update member;
+        member.instance = instance_id{"i" + std::to_string(slot)};
+        member.entry_slot = slot;
+        return member;
+    }
+    void add_engine(const std::vector<model_id>& models, bool honours_fencing)
+    {
+        engine added;
+        const std::string name = "e" + std::to_string(engines.size());
+        added.where = {endpoint_id{name}, service_id{"s"}, name, region_id{"lagos"}};
+        added.state.endpoint = added.where.endpoint;
+        added.state.models = models;
+        added.honours_fencing = honours_fencing;
+        engines.push_back(added);
+    }
+    /// Adds the holder of a planner slot; without a view it believes to own everything.
+    void add_planner(int slot)
+    {
+        planners.emplace_back(holder_of_slot(slot), placement_settings{});
+    }
+    void configure(const placement_configuration& configuration)
+    {
+        for (placement_planner& planner : planners)
+        {
+            planner.set_configuration(configuration, now);
+        }
+    }
+    void list_all()
+    {
+        for (placement_planner& planner : planners)
+        {
+            list(planner, [](std::size_t) { return true; });
+        }
+    }
+    template <class Listed>
+    void list(placement_planner& planner, const Listed& listed)
+    {
+        std::vector<placement_endpoint> endpoints;
+        for (std::size_t index = 0; index < engines.size(); ++index)
+        {
+            if (listed(index))
+            {
+                endpoints.push_back(engines[index].where);
+            }
+        }
+        planner.set_endpoints(endpoints);
+    }
+    [[nodiscard]] static bool holds(const engine& held, const model_id& model)
+    {
+        const auto& models = held.state.models;
+        return std::find(models.begin(), models.end(), model) != models.end();
+    }
+    [[nodiscard]] std::size_t serving(const model_id& model) const
+    {
+        std::size_t count = 0;
+        for (const engine& counted : engines)
+        {
+            count += holds(counted, model) && counted.occupied_until <= now ? 1 : 0;
+        }
+        return count;
+    }
+    void execute(placement_planner& planner, const placement_order& order)
+    {
+        engine& target = engines.at(std::stoul(order.endpoint.value().substr(1)));
+        ++orders;
+        const bool accepted = !target.honours_fencing || order.fence >= target.state.fence;
+        if (accepted)
+        {
+            if (target.honours_fencing)
+            {
+                target.state.fence = order.fence;
+            }
+            apply(target, order);
+        }
+        planner.handle(placement_answered{order, accepted, target.state.fence}, now);
+    }
+    void apply(engine& target, const placement_order& order)
+    {
+        if (order.action == placement_action::load_model)
+        {
+            loaded_bytes += load_bytes;
+            target.loading = order.model;
+            target.occupied_until = now + load_time;
+        }
+        else if (order.action == placement_action::set_role)
+        {
+            target.state.role = order.role;
+            target.occupied_until = std::max(target.occupied_until, now + duration{2'000});
+        }
+        else if (order.action == placement_action::unload_model)
+        {
+            std::erase(target.state.models, order.model);
+        }
+    }
+    /// @param each_second called after each second
+    template <class Check>
+    void run_for(duration time, const Check& each_second)
+    {
+        for (const time_point end = now + time; now < end; now += duration{1'000})
+        {
+            for (engine& running : engines)
+            {
+                const bool finished = !running.loading.empty() && running.occupied_until <= now;
+                if (finished && !holds(running, running.loading))
+                {
+                    running.state.models.push_back(running.loading);
+                }
+                running.loading = finished ? model_id{} : running.loading;
+            }
+            for (placement_planner& planner : planners)
+            {
+                for (const engine& reporting : engines)
+                {
+                    // A third of the reports is lost.
+                    if (random.fraction() < 0.67)
+                    {
+                        planner.handle(reporting.state, now);
+                    }
+                }
+                std::vector<send_placement_order> out;
+                planner.expire(now + duration{1}, out);
+                for (const send_placement_order& sent : out)
+                {
+                    execute(planner, sent.order);
+                }
+            }
+            each_second();
+        }
+    }
+
+    std::vector<engine> engines;
+    std::vector<placement_planner> planners;
+    random_source random{41};
+    time_point now = at_ms(1'000'000);
+    duration load_time{20'000};
+    std::int64_t load_bytes = 1'000;
+    std::int64_t loaded_bytes = 0;
+    std::size_t orders = 0;
+};
+
+} // namespace parsleyshift::test_support
