--- a/apps/parsleyctl/caller_commands.cpp
+++ b/apps/parsleyctl/caller_commands.cpp
@@ -132,6 +132,10 @@
     {
         return generate_whole(line, client);
     }
+    const auto announce = [](const std::string& instance)
+    {
+        std::cerr << "at " << instance << std::endl;
+    };
     const auto print = [&line](const std::string& token)
     {
         if (!line.json())
@@ -139,7 +143,7 @@
             std::cout << token << std::flush;
         }
     };
-    const caller_answer answer = client.generate(generation_body(line), print);
+    const caller_answer answer = client.generate(generation_body(line), {announce, print});
     if (line.json() || answer.what != outcome::completed)
     {
         std::cout << (line.json() ? "" : "\n");
--- a/apps/standins/main.cpp
+++ b/apps/standins/main.cpp
@@ -1,4 +1,4 @@
-#include "standin.hpp" // run_engine, run_plain, run_configuration, run_list, run_publish, run_request, run_store
+#include "standin.hpp" // run_engine, run_plain, run_configuration, run_list, run_ports, run_publish, run_request, run_store
 
 #include <array>       // array
 #include <exception>   // exception
@@ -24,6 +24,7 @@
     command{"list", run_list, "platform's list of instances, which lags"},
     command{"store", run_store, "weight store with a rate"},
     command{"publish", run_publish, "write a folder of records at the configuration stand-in"},
+    command{"ports", run_ports, "print free ports of 127.0.0.1"},
     command{"request", run_request, "send one HTTP request and print the answer's body"},
 };
 
--- a/apps/standins/operate.cpp
+++ b/apps/standins/operate.cpp
@@ -3,6 +3,10 @@
 #include <parsleyshift/client/http_connection.hpp> // http_connection
 #include <parsleyshift/records/record_files.hpp>   // read_record_files
 
+#include <boost/asio/io_context.hpp> // io_context
+#include <boost/asio/ip/tcp.hpp>     // tcp
+
+#include <cstdlib>  // atoi
 #include <iostream> // cout, cerr
 #include <string>   // string
 #include <vector>   // vector
@@ -12,6 +16,8 @@
 namespace
 {
 
+using boost::asio::ip::tcp;
+
 constexpr duration stall{10'000};
 
 int write_record_at(http_connection& service, const raw_record& record)
@@ -53,6 +59,25 @@
     return failures == 0 ? 0 : 1;
 }
 
+int run_ports(int argc, char** argv)
+{
+    const int wanted = argc == 2 ? std::atoi(argv[1]) : 0;
+    if (wanted < 1 || wanted > 100)
+    {
+        std::cerr << "usage: standins ports COUNT\n";
+        return 2;
+    }
+    boost::asio::io_context context;
+    // All are held until the last one is chosen, so that the ports differ.
+    std::vector<tcp::acceptor> held;
+    for (int index = 0; index < wanted; ++index)
+    {
+        held.emplace_back(context, tcp::endpoint{boost::asio::ip::address_v4::loopback(), 0});
+        std::cout << held.back().local_endpoint().port() << "\n";
+    }
+    return 0;
+}
+
 int run_request(int argc, char** argv)
 {
     if (argc < 4 || argc > 5)
--- a/apps/standins/standin.hpp
+++ b/apps/standins/standin.hpp
@@ -12,6 +12,7 @@
 int run_list(int argc, char** argv);
 int run_store(int argc, char** argv);
 int run_publish(int argc, char** argv);
+int run_ports(int argc, char** argv);
 int run_request(int argc, char** argv);
 
 } // namespace parsleyshift::standins
--- a/libs/client/include/parsleyshift/client/caller.hpp
+++ b/libs/client/include/parsleyshift/client/caller.hpp
@@ -99,8 +99,8 @@
     }
     /// @brief Runs a streamed generation to its end over as many connections as it takes.
     /// @param body request; its entry_token is filled in
-    /// @param sink receives each token once and in order
-    caller_answer generate(nlohmann::json body, const generation_check::token_sink& sink)
+    /// @param sink receives each token once and in order; valid until the end of the call
+    caller_answer generate(nlohmann::json body, const generation_sink& sink)
     {
         generation_check check{sink};
         caller_answer answer = with_entries(
--- a/libs/client/include/parsleyshift/client/generation_check.hpp
+++ b/libs/client/include/parsleyshift/client/generation_check.hpp
@@ -11,13 +11,20 @@
 namespace parsleyshift
 {
 
+/// @brief Receives a streamed generation.
+struct generation_sink
+{
+    /// Called once for each connection that carries the generation, with the instance's name; may be empty.
+    std::function<void(const std::string& instance)> started;
+    /// Called for each token, once and in order.
+    std::function<void(const std::string& token)> token;
+};
+
 /// @brief Follows a streamed generation over all its connections and checks that each token comes once and in order.
 class generation_check
 {
   public:
-    using token_sink = std::function<void(const std::string& token)>;
-
-    explicit generation_check(token_sink sink) : sink_(std::move(sink)) {}
+    explicit generation_check(generation_sink sink) : sink_(std::move(sink)) {}
 
     /// @brief Takes an event. @return false when the connection has nothing more to say
     bool take(const stream_event& event);
@@ -51,11 +58,12 @@
     }
 
   private:
+    bool take_start(const nlohmann::json& data);
     bool take_tokens(const nlohmann::json& data);
     bool take_end(const nlohmann::json& data);
     bool violate(const std::string& what);
 
-    token_sink sink_;
+    generation_sink sink_;
     std::string generation_;
     std::string continuation_;
     std::int64_t received_ = 0;
--- a/libs/client/src/generation_check.cpp
+++ b/libs/client/src/generation_check.cpp
@@ -16,14 +16,7 @@
     }
     if (event.name == "start")
     {
-        const auto generation = member_or<std::string>(data, "generation", "");
-        if (received_ > 0 && generation != generation_)
-        {
-            return violate("the stream went on with another generation");
-        }
-        generation_ = generation;
-        continuation_ = member_or<std::string>(data, "continuation", continuation_);
-        return true;
+        return take_start(data);
     }
     if (event.name == "tokens")
     {
@@ -59,6 +52,22 @@
     return kind == error_kind::link_broken || kind == error_kind::shutting_down;
 }
 
+bool generation_check::take_start(const nlohmann::json& data)
+{
+    const auto generation = member_or<std::string>(data, "generation", "");
+    if (received_ > 0 && generation != generation_)
+    {
+        return violate("the stream went on with another generation");
+    }
+    generation_ = generation;
+    continuation_ = member_or<std::string>(data, "continuation", continuation_);
+    if (sink_.started)
+    {
+        sink_.started(member_or<std::string>(data, "instance", ""));
+    }
+    return true;
+}
+
 bool generation_check::take_tokens(const nlohmann::json& data)
 {
     const auto offset = member_or<std::int64_t>(data, "offset", -1);
@@ -78,7 +87,7 @@
             return violate("a token is not text");
         }
         ++received_;
-        sink_(token.get_ref<const std::string&>());
+        sink_.token(token.get_ref<const std::string&>());
     }
     return true;
 }
--- a/libs/client/tests/client_test.cpp
+++ b/libs/client/tests/client_test.cpp
@@ -149,8 +149,12 @@
 {
     caller<fake_transport> client{transport, options_for("a:1")};
     generated made;
-    made.answer =
-        client.generate(json{{"prompt", "p"}}, [&made](const std::string& token) { made.tokens.push_back(token); });
+    const generation_sink sink{{},
+                               [&made](const std::string& token)
+                               {
+                                   made.tokens.push_back(token);
+                               }};
+    made.answer = client.generate(json{{"prompt", "p"}}, sink);
     return made;
 }
 
--- a/libs/records/tests/records_test.cpp
+++ b/libs/records/tests/records_test.cpp
@@ -5,8 +5,11 @@
 #include <parsleyshift/records/check_records.hpp> // check_records
 #include <parsleyshift/records/json_text.hpp>     // parse_json
 #include <parsleyshift/records/parse_record.hpp>  // parse_record
+#include <parsleyshift/records/read_settings.hpp> // read_settings
+#include <parsleyshift/records/record_files.hpp>  // read_record_files
 
 #include <fstream> // ifstream
+#include <set>     // set
 #include <sstream> // stringstream
 #include <string>  // string
 
@@ -264,6 +267,28 @@
                                  });
 }
 
+// Guards against examples that an operator would copy and that no instance would accept.
+TEST(records, examples_are_accepted_without_findings)
+{
+    for (const char* deployment : {"okonkwo", "lapviz", "demo"})
+    {
+        const auto records = read_record_files(std::string{EXAMPLES_FOLDER} + "/" + deployment + "/records");
+        CHECK_TRUE_TEXT(records.has_value(), deployment);
+        LONGS_EQUAL_TEXT(0, check_records(records.value()).size(), deployment);
+        std::set<int> schemas;
+        for (const raw_record& record : records.value())
+        {
+            schemas.insert(record.schema);
+        }
+        LONGS_EQUAL_TEXT(2, schemas.size(), deployment);
+    }
+    for (const char* settings : {"okonkwo/settings/ikeja-1.json", "lapviz/settings/zirc-2.json"})
+    {
+        const auto read = read_settings(read_file(std::string{EXAMPLES_FOLDER} + "/" + settings));
+        CHECK_TRUE_TEXT(read.has_value(), settings);
+    }
+}
+
 // Guards against references between records that no one notices until requests fail.
 TEST(records, references_between_records_are_warnings)
 {
