--- a/libs/runtime/src/caller_server.cpp
+++ b/libs/runtime/src/caller_server.cpp
@@ -90,7 +90,7 @@
 void caller_server::schedule_sweep()
 {
     const duration shortest = std::min(options_.bounds.request_timeout, options_.bounds.write_timeout);
-    sweep_timer_.expires_after(std::clamp(shortest / 4, shortest_sweep, longest_sweep));
+    sweep_timer_.expires_after(finished_ ? shortest_sweep : std::clamp(shortest / 4, shortest_sweep, longest_sweep));
     sweep_timer_.async_wait(
         [this](const boost::system::error_code& failure)
         {
--- /dev/null
+++ b/libs/runtime/tests/loopback.hpp
@@ -0,0 +1,433 @@
+#pragma once
+
+#include <parsleyshift/runtime/daemon.hpp> // daemon
+
+#include <boost/asio/io_context.hpp> // io_context
+#include <boost/asio/ip/tcp.hpp>     // tcp
+#include <boost/asio/read.hpp>       // read
+#include <boost/asio/read_until.hpp> // read_until
+#include <boost/asio/write.hpp>      // write
+
+#include <sys/socket.h> // setsockopt
+#include <sys/time.h>   // timeval
+
+#include <chrono>             // seconds
+#include <condition_variable> // condition_variable
+#include <functional>         // function
+#include <mutex>              // mutex
+#include <optional>           // optional
+#include <stdexcept>          // runtime_error
+#include <string>             // string
+#include <thread>             // thread
+#include <vector>             // vector
+
+namespace parsleyshift::test_support
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// Turns a test that would hang into one that fails; no verdict depends on its length.
+inline constexpr std::chrono::seconds safety_timeout{60};
+
+inline tcp::endpoint loopback(std::uint16_t port)
+{
+    return {asio::ip::make_address_v4("127.0.0.1"), port};
+}
+
+inline void bound_waiting(tcp::socket& socket)
+{
+    const timeval bound{safety_timeout.count(), 0};
+    setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &bound, sizeof bound);
+    setsockopt(socket.native_handle(), SOL_SOCKET, SO_SNDTIMEO, &bound, sizeof bound);
+}
+
+/// A blocking client connection.
+class client
+{
+  public:
+    explicit client(std::uint16_t port, int receive_buffer = 0) : socket_(context_)
+    {
+        socket_.open(tcp::v4());
+        if (receive_buffer > 0)
+        {
+            socket_.set_option(asio::socket_base::receive_buffer_size(receive_buffer));
+        }
+        socket_.connect(loopback(port));
+        bound_waiting(socket_);
+    }
+    void send(const std::string& bytes)
+    {
+        asio::write(socket_, asio::buffer(bytes));
+    }
+    /// Reads up to and including a delimiter.
+    std::string read_to(const std::string& delimiter)
+    {
+        const std::size_t size = asio::read_until(socket_, asio::dynamic_buffer(input_), delimiter);
+        return take(size);
+    }
+    std::string read_exactly(std::size_t size)
+    {
+        if (input_.size() < size)
+        {
+            asio::read(socket_, asio::dynamic_buffer(input_), asio::transfer_exactly(size - input_.size()));
+        }
+        return take(size);
+    }
+    /// Reads until the other side closes.
+    std::string read_all()
+    {
+        boost::system::error_code end;
+        asio::read(socket_, asio::dynamic_buffer(input_), end);
+        if (end != asio::error::eof && end != asio::error::connection_reset)
+        {
+            throw std::runtime_error("no end of the connection: " + end.message());
+        }
+        return take(input_.size());
+    }
+    /// Reads one answer with a Content-Length.
+    std::string read_answer()
+    {
+        std::string head = read_to("\r\n\r\n");
+        const auto at = head.find("Content-Length: ");
+        return head + read_exactly(at == std::string::npos ? 0 : std::stoul(head.substr(at + 16)));
+    }
+    /// Reads one chunk of a chunked body; empty at its end.
+    std::string read_chunk()
+    {
+        const std::size_t size = std::stoul(read_to("\r\n"), nullptr, 16);
+        std::string chunk = read_exactly(size + 2);
+        chunk.resize(size);
+        return chunk;
+    }
+    /// Reads the head of a stream and its first chunk.
+    void read_chunk_head_of_stream()
+    {
+        read_to("\r\n\r\n");
+        read_chunk();
+    }
+    void close()
+    {
+        socket_.close();
+    }
+
+  private:
+    std::string take(std::size_t size)
+    {
+        std::string taken = input_.substr(0, size);
+        input_.erase(0, size);
+        return taken;
+    }
+
+    asio::io_context context_;
+    tcp::socket socket_;
+    std::string input_;
+};
+
+inline std::string http_request(const std::string& method, const std::string& target, const std::string& body = {},
+                                const std::string& headers = {})
+{
+    return method + " " + target + " HTTP/1.1\r\nHost: test\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string http_ok(const std::string& body, const std::string& status = "200 OK")
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A server whose every connection is served by a function, one after the other, on a thread of its own.
+class scripted_server
+{
+  public:
+    class connection
+    {
+      public:
+        explicit connection(tcp::socket& socket) : socket_(socket) {}
+
+        /// The next request with its body; nothing when the other side closes.
+        std::optional<std::string> request()
+        {
+            boost::system::error_code end;
+            const std::size_t head = asio::read_until(socket_, asio::dynamic_buffer(input_), "\r\n\r\n", end);
+            if (end)
+            {
+                return std::nullopt;
+            }
+            const auto at = input_.substr(0, head).find("Content-Length: ");
+            const std::size_t size = head + (at == std::string::npos ? 0 : std::stoul(input_.substr(at + 16)));
+            if (input_.size() < size)
+            {
+                asio::read(socket_, asio::dynamic_buffer(input_), asio::transfer_exactly(size - input_.size()), end);
+            }
+            std::string whole = input_.substr(0, size);
+            input_.erase(0, size);
+            return whole;
+        }
+        void send(const std::string& bytes)
+        {
+            boost::system::error_code ignored;
+            asio::write(socket_, asio::buffer(bytes), ignored);
+        }
+        void begin_lines()
+        {
+            send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        }
+        void chunk(const std::string& text)
+        {
+            char size[20] = {};
+            std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+            send(size + text + "\r\n");
+        }
+        void end_lines()
+        {
+            send("0\r\n\r\n");
+        }
+
+      private:
+        tcp::socket& socket_;
+        std::string input_;
+    };
+
+    explicit scripted_server(std::function<void(connection&)> script) :
+        acceptor_(context_, loopback(0)), port_(acceptor_.local_endpoint().port()),
+        thread_([this, script] { run(script); })
+    {
+    }
+    ~scripted_server()
+    {
+        stopping_ = true;
+        // Wakes accept() and ends a connection that is still open.
+        boost::system::error_code ignored;
+        {
+            const std::lock_guard lock(mutex_);
+            if (open_ != nullptr)
+            {
+                open_->shutdown(tcp::socket::shutdown_both, ignored);
+            }
+        }
+        asio::io_context context;
+        tcp::socket waker(context);
+        waker.connect(loopback(port_), ignored);
+        thread_.join();
+    }
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+    scripted_server(scripted_server&&) = delete;
+    scripted_server& operator=(scripted_server&&) = delete;
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(port_);
+    }
+
+  private:
+    void run(const std::function<void(connection&)>& script)
+    {
+        while (!stopping_)
+        {
+            tcp::socket socket(context_);
+            boost::system::error_code failure;
+            acceptor_.accept(socket, failure);
+            if (failure || stopping_)
+            {
+                continue;
+            }
+            bound_waiting(socket);
+            {
+                const std::lock_guard lock(mutex_);
+                open_ = &socket;
+            }
+            connection served(socket);
+            script(served);
+            const std::lock_guard lock(mutex_);
+            open_ = nullptr;
+        }
+    }
+
+    asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::uint16_t port_;
+    std::atomic<bool> stopping_ = false;
+    std::mutex mutex_;
+    tcp::socket* open_ = nullptr;
+    std::thread thread_;
+};
+
+/// A port on which nobody listens.
+inline std::string refused_address()
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, loopback(0));
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+/// A decider that records events and answers by a script. Actions from outside are passed with perform().
+class fake_decider
+{
+  public:
+    using script = std::function<void(const event&, std::vector<action>&)>;
+
+    explicit fake_decider(script answer = [](const event&, std::vector<action>&) {}) : answer_(std::move(answer)) {}
+
+    void handle(const event& what, time_point /*now*/, std::vector<action>& out)
+    {
+        const std::lock_guard lock(mutex_);
+        if (std::holds_alternative<stop_planned>(what))
+        {
+            for (action& each : queued_)
+            {
+                out.push_back(std::move(each));
+            }
+            queued_.clear();
+            return;
+        }
+        events_.push_back(what);
+        arrived_.notify_all();
+        answer_(what, out);
+    }
+    [[nodiscard]] time_point next_deadline() const
+    {
+        return never;
+    }
+    [[nodiscard]] revision highest_revision() const
+    {
+        return revision{77};
+    }
+    [[nodiscard]] std::string key_sha256(const customer_id& customer) const
+    {
+        // SHA-256 of "secret".
+        return customer == customer_id{"guarded"}
+                   ? "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+                   : "";
+    }
+
+    /// Lets the decision thread perform actions; `wake` must make it handle stop_planned.
+    template <class Daemon>
+    void perform(Daemon& instance, std::vector<action> actions)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            for (action& each : actions)
+            {
+                queued_.push_back(std::move(each));
+            }
+        }
+        instance.request_stop();
+    }
+    /// Waits for the next event of a type that no earlier call has returned.
+    template <class Event>
+    Event expect()
+    {
+        std::unique_lock lock(mutex_);
+        std::optional<Event> found;
+        const bool came = arrived_.wait_for(lock, safety_timeout,
+                                            [this, &found]
+                                            {
+                                                found = take<Event>();
+                                                return found.has_value();
+                                            });
+        if (!came)
+        {
+            throw std::runtime_error("the expected event did not come");
+        }
+        return std::move(*found);
+    }
+    template <class Event>
+    bool has()
+    {
+        const std::lock_guard lock(mutex_);
+        return take<Event>().has_value();
+    }
+
+  private:
+    template <class Event>
+    std::optional<Event> take()
+    {
+        for (auto at = events_.begin(); at != events_.end(); ++at)
+        {
+            if (const auto* match = std::get_if<Event>(&*at))
+            {
+                std::optional<Event> taken = *match;
+                events_.erase(at);
+                return taken;
+            }
+        }
+        return std::nullopt;
+    }
+
+    script answer_;
+    std::mutex mutex_;
+    std::condition_variable arrived_;
+    std::vector<event> events_;
+    std::vector<action> queued_;
+};
+
+inline daemon_settings test_settings()
+{
+    daemon_settings settings;
+    settings.instance = instance_id{"one"};
+    settings.caller_address = "127.0.0.1:0";
+    settings.peer_address = "127.0.0.1:0";
+    settings.operator_key = "operators";
+    settings.log_level = "error";
+    return settings;
+}
+
+inline const std::string operator_header = "Authorization: Bearer operators\r\n";
+
+/// A daemon around a fake decider, stopped at the end of the test.
+class running_daemon
+{
+  public:
+    explicit running_daemon(fake_decider& core, const daemon_settings& settings = test_settings(),
+                            daemon_options options = {}) :
+        core_(core), instance_(settings, options, core)
+    {
+        if (const auto begun = instance_.start(); begun.has_error())
+        {
+            throw std::runtime_error(begun.error().message());
+        }
+    }
+    ~running_daemon()
+    {
+        stop();
+    }
+    running_daemon(const running_daemon&) = delete;
+    running_daemon& operator=(const running_daemon&) = delete;
+    running_daemon(running_daemon&&) = delete;
+    running_daemon& operator=(running_daemon&&) = delete;
+
+    void perform(std::vector<action> actions)
+    {
+        core_.perform(instance_, std::move(actions));
+    }
+    void stop()
+    {
+        perform({stop_complete{}});
+        instance_.wait();
+    }
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return instance_.caller_port();
+    }
+    [[nodiscard]] std::uint16_t peer_port() const
+    {
+        return instance_.peer_port();
+    }
+    /// Value of a line of GET /metrics, or -1 when there is none.
+    double metric(const std::string& line)
+    {
+        client operators(port());
+        operators.send(http_request("GET", "/metrics", {}, operator_header));
+        const std::string text = operators.read_answer();
+        const auto at = text.find("\n" + line + " ");
+        return at == std::string::npos ? -1 : std::stod(text.substr(at + line.size() + 2));
+    }
+
+  private:
+    fake_decider& core_;
+    daemon<fake_decider> instance_;
+};
+
+} // namespace parsleyshift::test_support
