--- a/libs/runtime/include/parsleyshift/runtime/daemon.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/daemon_runtime.hpp
@@ -19,28 +19,28 @@
 ///
 /// @code
 /// decision_core core{...};
-/// daemon<decision_core> instance{settings, {.started = started}, core};
+/// daemon_runtime<decision_core> instance{settings, {.started = started}, core};
 /// if (const auto begun = instance.start(); begun.has_error()) { ... }
 /// instance.wait(); // returns after stop_complete
 /// @endcode
 /// @tparam D type of the decider
 template <decider D>
-class daemon
+class daemon_runtime
 {
   public:
     /// @param core used by the decision thread only, from start() to the end of wait()
-    daemon(const daemon_settings& settings, const daemon_options& options, D& core)
+    daemon_runtime(const daemon_settings& settings, const daemon_options& options, D& core)
         : io_(settings, options), core_(core)
     {
     }
-    ~daemon()
+    ~daemon_runtime()
     {
         wait();
     }
-    daemon(const daemon&) = delete;
-    daemon& operator=(const daemon&) = delete;
-    daemon(daemon&&) = delete;
-    daemon& operator=(daemon&&) = delete;
+    daemon_runtime(const daemon_runtime&) = delete;
+    daemon_runtime& operator=(const daemon_runtime&) = delete;
+    daemon_runtime(daemon_runtime&&) = delete;
+    daemon_runtime& operator=(daemon_runtime&&) = delete;
 
     /// @brief Binds the addresses and starts all threads. @return error invalid_field
     result<void> start()
--- a/libs/runtime/src/http_exchange.cpp
+++ b/libs/runtime/src/http_exchange.cpp
@@ -267,8 +267,13 @@
 void http_exchange::on_end_of_input()
 {
     boost::system::error_code failure;
-    parser_->put_eof(failure);
-    if (failure || !parser_->is_done())
+    // Beast takes the end of an empty input for a complete message.
+    const bool has_head = parser_->is_header_done();
+    if (has_head)
+    {
+        parser_->put_eof(failure);
+    }
+    if (!has_head || failure || !parser_->is_done())
     {
         fail(attempt_failure::link_broken, "the connection closed before the end of the answer");
         return;
--- a/libs/runtime/tests/caller_server_test.cpp
+++ b/libs/runtime/tests/caller_server_test.cpp
@@ -149,8 +149,9 @@
     std::string pipelined;
     for (int i = 0; i < 20; ++i)
     {
-        pipelined += http_request("POST", "/v1/calls", R"({"customer":"c","service":"s","operation":"o","payload":)" +
-                                                           std::to_string(i) + "}");
+        pipelined +=
+            http_request("POST", "/v1/calls",
+                         R"({"customer":"c","service":"s","operation":"o","payload":)" + std::to_string(i) + "}");
     }
     caller.send(pipelined);
     for (int i = 0; i < 20; ++i)
@@ -287,8 +288,8 @@
     const auto ask = [&instance](const std::string& customer, const std::string& header)
     {
         client caller(instance.port());
-        caller.send(http_request("POST", "/v1/orders/keys", R"({"customer":")" + customer + R"(","service":"s"})",
-                                 header));
+        caller.send(
+            http_request("POST", "/v1/orders/keys", R"({"customer":")" + customer + R"(","service":"s"})", header));
         return caller.read_answer();
     };
     CHECK(begins(ask("guarded", ""), "HTTP/1.1 401"));
--- a/libs/runtime/tests/loopback.hpp
+++ b/libs/runtime/tests/loopback.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <parsleyshift/runtime/daemon.hpp> // daemon
+#include <parsleyshift/runtime/daemon_runtime.hpp> // daemon_runtime
 
 #include <boost/asio/io_context.hpp> // io_context
 #include <boost/asio/ip/tcp.hpp>     // tcp
@@ -13,6 +13,7 @@
 
 #include <chrono>             // seconds
 #include <condition_variable> // condition_variable
+#include <deque>              // deque
 #include <functional>         // function
 #include <mutex>              // mutex
 #include <optional>           // optional
@@ -189,9 +190,10 @@
         std::string input_;
     };
 
-    explicit scripted_server(std::function<void(connection&)> script) :
-        acceptor_(context_, loopback(0)), port_(acceptor_.local_endpoint().port()),
-        thread_([this, script] { run(script); })
+    explicit scripted_server(std::function<void(connection&)> script)
+        : acceptor_(context_, loopback(0)),
+          port_(acceptor_.local_endpoint().port()),
+          thread_([this, script] { run(script); })
     {
     }
     ~scripted_server()
@@ -297,9 +299,8 @@
     [[nodiscard]] std::string key_sha256(const customer_id& customer) const
     {
         // SHA-256 of "secret".
-        return customer == customer_id{"guarded"}
-                   ? "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
-                   : "";
+        return customer == customer_id{"guarded"} ? "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+                                                  : "";
     }
 
     /// Lets the decision thread perform actions; `wake` must make it handle stop_planned.
@@ -333,6 +334,31 @@
         }
         return std::move(*found);
     }
+    /// Waits for the next event of either type, in the order of their arrival.
+    template <class First, class Second>
+    event expect_any()
+    {
+        std::unique_lock lock(mutex_);
+        std::optional<event> found;
+        const auto take_either = [this, &found]
+        {
+            for (auto at = events_.begin(); at != events_.end(); ++at)
+            {
+                if (std::holds_alternative<First>(*at) || std::holds_alternative<Second>(*at))
+                {
+                    found = std::move(*at);
+                    events_.erase(at);
+                    return true;
+                }
+            }
+            return false;
+        };
+        if (!arrived_.wait_for(lock, safety_timeout, take_either))
+        {
+            throw std::runtime_error("neither of the expected events came");
+        }
+        return std::move(*found);
+    }
     template <class Event>
     bool has()
     {
@@ -359,7 +385,7 @@
     script answer_;
     std::mutex mutex_;
     std::condition_variable arrived_;
-    std::vector<event> events_;
+    std::deque<event> events_;
     std::vector<action> queued_;
 };
 
@@ -381,8 +407,8 @@
 {
   public:
     explicit running_daemon(fake_decider& core, const daemon_settings& settings = test_settings(),
-                            daemon_options options = {}) :
-        core_(core), instance_(settings, options, core)
+                            daemon_options options = {})
+        : core_(core), instance_(settings, options, core)
     {
         if (const auto begun = instance_.start(); begun.has_error())
         {
@@ -427,7 +453,7 @@
 
   private:
     fake_decider& core_;
-    daemon<fake_decider> instance_;
+    daemon_runtime<fake_decider> instance_;
 };
 
 } // namespace parsleyshift::test_support
--- /dev/null
+++ b/libs/runtime/tests/parts_test.cpp
@@ -0,0 +1,158 @@
+#include <parsleyshift/test_support/property.hpp> // check_property
+
+#include "loopback.hpp" // test_settings, fake_decider
+
+#include <parsleyshift/runtime/channel.hpp>   // channel
+#include <parsleyshift/runtime/event_log.hpp> // event_log
+#include <parsleyshift/runtime/metrics.hpp>   // metrics
+#include <parsleyshift/runtime/wakeup.hpp>    // wakeup
+
+#include <nlohmann/json.hpp> // json
+
+using namespace parsleyshift;
+using namespace parsleyshift::test_support;
+
+namespace
+{
+
+std::size_t count_of(const std::string& text, const std::string& part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+    {
+        ++count;
+    }
+    return count;
+}
+
+/// A decider with a deadline that never moves.
+struct stuck_decider
+{
+    void handle(const event& what, time_point now, std::vector<action>& out)
+    {
+        if (std::holds_alternative<timer_expired>(what))
+        {
+            ++expiries;
+            in_order = in_order && now > last;
+            last = now;
+            if (expiries == 20)
+            {
+                out.emplace_back(stop_complete{});
+            }
+        }
+    }
+    [[nodiscard]] time_point next_deadline() const
+    {
+        return at_ms(1);
+    }
+
+    int expiries = 0;
+    bool in_order = true;
+    time_point last;
+};
+
+static_assert(decider<stuck_decider> && !key_checking_decider<stuck_decider>);
+static_assert(key_checking_decider<fake_decider>);
+
+} // namespace
+
+TEST_GROUP(parts){};
+
+// Guards against elements that are lost, doubled or left behind with both threads asleep.
+TEST(parts, a_channel_loses_nothing_when_it_is_full)
+{
+    constexpr int total = 100'000;
+    wakeup consumer;
+    wakeup producer;
+    channel<int> numbers(
+        4, [&consumer] { consumer.notify(); }, [&producer] { producer.notify(); });
+    std::thread sender(
+        [&]
+        {
+            for (int i = 0; i < total; ++i)
+            {
+                numbers.send(i);
+                numbers.announce();
+                while (numbers.congested() && !numbers.flush())
+                {
+                    producer.wait(millisecond_clock::now() + duration{60'000}, [&] { return numbers.flush(); });
+                }
+            }
+        });
+    int expected = 0;
+    bool in_order = true;
+    while (expected < total)
+    {
+        int value = 0;
+        while (numbers.receive(value))
+        {
+            in_order = in_order && value == expected;
+            ++expected;
+        }
+        numbers.batch_received();
+        if (expected < total)
+        {
+            consumer.wait(millisecond_clock::now() + duration{60'000}, [&] { return numbers.size() > 0; });
+        }
+    }
+    sender.join();
+    CHECK_TRUE(in_order);
+    CHECK_EQUAL(0, static_cast<int>(numbers.held()));
+}
+
+// Guards against a decision thread that spins on a deadline in the past or is never told of it.
+TEST(parts, a_deadline_that_does_not_move_is_reported_once_a_millisecond)
+{
+    stuck_decider core;
+    daemon_runtime<stuck_decider> instance(test_settings(), {}, core);
+    CHECK(instance.start().has_value());
+    instance.wait();
+    CHECK_EQUAL(20, core.expiries);
+    CHECK_TRUE(core.in_order);
+}
+
+// Guards against an address in use that goes unnoticed.
+TEST(parts, an_address_that_cannot_be_used_is_an_error)
+{
+    fake_decider core;
+    running_daemon first(core);
+    auto settings = test_settings();
+    settings.caller_address = "127.0.0.1:" + std::to_string(first.port());
+    daemon_runtime<fake_decider> second(settings, {}, core);
+    const auto begun = second.start();
+    CHECK(begun.has_error());
+    CHECK(begun.error().kind == error_kind::invalid_field);
+    CHECK(begun.error().detail.find("caller_address") != std::string::npos);
+}
+
+// Guards against figures without a bound on their number: each label value costs memory for good.
+TEST(parts, label_values_are_bounded)
+{
+    metrics figures;
+    for (int i = 0; i < 1000; ++i)
+    {
+        const customer_id customer{"customer" + std::to_string(i)};
+        figures.record(observe{observed::queue_ms, class_id{"class" + std::to_string(i)}, customer, 3});
+        figures.record(request_finished{class_id{"short"}, customer, outcome::failed, error_kind::link_broken});
+    }
+    const std::string text = figures.text();
+    CHECK_EQUAL(metrics::max_customers + 1, count_of(text, "parsleyshift_queue_ms_count"));
+    CHECK_EQUAL(metrics::max_customers + 1, count_of(text, "parsleyshift_requests_finished_total{"));
+    CHECK(text.find(R"(parsleyshift_queue_ms_count{class="other",customer="other"} 936)") != std::string::npos);
+    CHECK(text.find(R"(kind="link_broken")") != std::string::npos);
+}
+
+// Guards against log lines that a caller's text can break or forge.
+TEST(parts, a_log_line_stays_one_line)
+{
+    const std::string hostile = "a\n{\"event\":\"forged\"}\x01";
+    const event_log as_json(log_format::json, "info", instance_id{"i"});
+    const std::string line = as_json.line(log_level::warning, log_event::request_failed, hostile, request_id{7});
+    CHECK(line.find('\n') == std::string::npos);
+    const auto parsed = nlohmann::json::parse(line);
+    CHECK(parsed.at("event") == "request_failed" && parsed.at("level") == "warning" && parsed.at("instance") == "i");
+    CHECK(parsed.at("request") == 7 && parsed.at("detail") == hostile);
+    const event_log as_text(log_format::text, "warning", instance_id{"i"});
+    CHECK(as_text.line(log_level::warning, log_event::request_failed, hostile, {}).find('\n') == std::string::npos);
+    CHECK(as_text.writes(log_level::error) && !as_text.writes(log_level::info));
+}
