--- a/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
@@ -36,6 +36,8 @@
     duration permit_renewal{10'000};
     /// Time between two local choices while no endpoint has room in this instance's share.
     duration local_retry{100};
+    /// Time without a token after which a stream is resumed from its engine, in case the link is dead without a sign.
+    duration silence_timeout{15'000};
     /// Time for which a stream whose caller has disconnected can be resumed before its engine is told to cancel.
     duration resume_grace{30'000};
     /// Time between two notices to the instance from which a stream was taken over.
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -49,6 +49,7 @@
     try_again,
     resume_due,
     renew_permit,
+    check_silence,
     resume_grace_over,
     repeat_takeover,
     hedge_due,
--- a/libs/decision_core/src/generation.cpp
+++ b/libs/decision_core/src/generation.cpp
@@ -12,6 +12,8 @@
 
 /// Gaps between tokens above this count as stalls; the target for 95 in 100 gaps is 63 ms.
 constexpr duration stall_threshold{500};
+/// Time between two looks at a stream that may have gone silent.
+constexpr duration silence_check_interval{1'000};
 /// Quantile of the output length that the local choice reserves memory for.
 constexpr double local_reserve_quantile = 0.7;
 
@@ -71,6 +73,7 @@
 void generation::begin()
 {
     machine_->states.start();
+    add_timer(timer_kind::check_silence, silence_check_interval, 0);
     if (!resumed_)
     {
         add_timer(timer_kind::request_timeout, deadline_ - state_.now, 0);
@@ -224,6 +227,26 @@
 void generation::started()
 {
     tracker_.attempt_ran();
+    // The engine holds the attempt, however long it has been silent.
+    resumes_ = 0;
+}
+
+void generation::check_silence()
+{
+    const duration silent = state_.now - last_progress_;
+    const bool streaming = cursor_.next() > 0 && state_.attempts.contains(attempt_) && !detached_;
+    if (streaming && silent > stall_threshold)
+    {
+        state_.health.silent(endpoint_, silent, state_.now);
+    }
+    if (streaming && silent >= state_.settings.requests.silence_timeout)
+    {
+        attempt_lost(attempt_failure::link_broken);
+    }
+    if (!finished_)
+    {
+        add_timer(timer_kind::check_silence, silence_check_interval, 0);
+    }
 }
 
 void generation::tokens_arrived(std::int64_t offset, token_list& batch)
@@ -430,6 +453,9 @@
             machine_->states.process_event(generation_events::resume_due{});
         }
         break;
+    case timer_kind::check_silence:
+        check_silence();
+        break;
     case timer_kind::renew_permit:
         if (permit_ && current)
         {
--- a/libs/decision_core/src/generation.hpp
+++ b/libs/decision_core/src/generation.hpp
@@ -93,6 +93,7 @@
     void note_progress(std::size_t count);
     void announce_start();
     void renew_permit();
+    void check_silence();
     void return_permit(bool completed);
     void end_attempt(run_end how);
     void cancel_at_engine();
--- a/libs/decision_core/src/order_manager.cpp
+++ b/libs/decision_core/src/order_manager.cpp
@@ -332,7 +332,9 @@
     const std::string detail = active.attempts == 0
                                    ? "no endpoint of " + active.what.service.value() + " is known"
                                    : "endpoint " + active.endpoint.value() + ": " + std::string{name_of(failure)};
-    if (active.minted && active.tracker.without_answer() == outcome::not_run)
+    // Where endpoints check keys, another instance may send the order under the same key.
+    const bool only_sender = active.minted && !active.endpoint_checks_keys;
+    if (only_sender && active.tracker.without_answer() == outcome::not_run)
     {
         finish(
             active,
--- a/scenarios/fleet/fake_fleet.cpp
+++ b/scenarios/fleet/fake_fleet.cpp
@@ -15,6 +15,23 @@
 /// Time after which a send over a cut link is reported as broken.
 constexpr duration silence_timeout{2'000};
 
+attempt_id attempt_of(const event& what)
+{
+    return std::visit(
+        [](const auto& happened)
+        {
+            if constexpr (requires { happened.attempt; })
+            {
+                return happened.attempt;
+            }
+            else
+            {
+                return attempt_id{};
+            }
+        },
+        what);
+}
+
 std::string peer_address_of(const std::string& name)
 {
     return "peer:" + name;
@@ -447,6 +464,8 @@
 {
     highest_ = highest_.next();
     raw_record& record = records_[kind + "/" + name];
+    record.kind = kind;
+    record.name = name;
     record.changed = highest_;
     record.withdrawn = true;
     record.body.clear();
