--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -122,7 +122,7 @@
 
     struct attempt_entry
     {
-        attempt_owner owner;
+        attempt_owner owner = attempt_owner::generation;
         request_id request;
     };
     std::unordered_map<attempt_id, attempt_entry> attempts;
--- a/scenarios/soak/random_run.cpp
+++ b/scenarios/soak/random_run.cpp
@@ -264,7 +264,7 @@
         ++report_.faults;
         const std::string instance = any_instance();
         const auto endpoints = fleet_.endpoints();
-        const std::string endpoint = endpoints[random_.index(endpoints.size())];
+        const std::string& endpoint = endpoints[random_.index(endpoints.size())];
         switch (random_.index(12))
         {
         case 0:
