--- a/bench/policy/metrics.hpp
+++ b/bench/policy/metrics.hpp
@@ -17,7 +17,7 @@
 {
     /// First token of short work in the pool that also runs long work.
     short_behind_long_p99_ms,
-    /// Complete answer of short work.
+    /// Complete answer of short work; in `slowed` only of requests that can meet a slow engine.
     tail_p99_ms,
     /// Time beyond 250 ms between two tokens, per request that started.
     stall_ms,
@@ -44,7 +44,7 @@
     [[nodiscard]] double value(metric which) const;
 
   private:
-    void add_job(const job& work, bool in_window);
+    void add_job(const job& work, bool in_window, bool calm);
 
     std::vector<double> short_first_;
     std::vector<double> short_answer_;
--- a/bench/policy/workload.hpp
+++ b/bench/policy/workload.hpp
@@ -74,6 +74,9 @@
 /// @brief Whether a quarter of the engines is slow, and which: the speed of an engine at a time.
 double speed_of(scenario what, std::size_t engine, std::size_t engines, microseconds now);
 
+/// @brief Whether a request that arrives now can meet a slow engine: from one second before a moment to its end.
+bool near_slowness(scenario what, microseconds now);
+
 } // namespace parsleyshift::bench
 
 template <>
--- a/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
@@ -454,6 +454,7 @@
                                                                endpoint_table::index at)
 {
     double value = choice_(work.from, work.work, endpoints_.id_of(at)) - endpoints_.busy(at);
+    value -= settings_.unhealthy_penalty * (1.0 - endpoints_.health(at));
     if (endpoints_.has_stragglers(at))
     {
         value += uses == lane::shared ? settings_.straggler_preference : -settings_.straggler_preference;
--- a/libs/scheduling/include/parsleyshift/scheduling/endpoint_table.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/endpoint_table.hpp
@@ -92,6 +92,7 @@
     /// @brief How busy an endpoint is: about 0 idle, 1 full; health counts as lost capacity. Constant time.
     [[nodiscard]] double busy(index at) const;
     [[nodiscard]] bool has_stragglers(index at) const;
+    [[nodiscard]] double health(index at) const;
     [[nodiscard]] const endpoint_id& id_of(index at) const;
     [[nodiscard]] std::optional<index> find(const endpoint_id& endpoint) const;
     /// @brief Endpoints that may have a free slot, in no order.
--- a/libs/scheduling/src/endpoint_table.cpp
+++ b/libs/scheduling/src/endpoint_table.cpp
@@ -325,6 +325,11 @@
     return entries_[at].stragglers > 0;
 }
 
+double endpoint_table::health(index at) const
+{
+    return entries_[at].health;
+}
+
 const endpoint_id& endpoint_table::id_of(index at) const
 {
     return entries_[at].id;
