Prefer healthy endpoints until they are full

Cause: slowed: a slow endpoint kept a part of the work once the healthy ones were 80% busy. Change: a penalty of four capacities per unit of missing health instead of one.

--- a/libs/scheduling/include/parsleyshift/scheduling/scheduler_settings.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/scheduler_settings.hpp
@@ -35,7 +35,7 @@
     double straggler_preference = 0.25;
     /// How much busier a healthy endpoint may be than one of weight 0 and still be preferred, as a share of its
     /// capacity.
-    double unhealthy_penalty = 1.0;
+    double unhealthy_penalty = 4.0;
     /// Rejects requests on arrival when the expected wait exceeds the time allowed.
     bool early_denial = true;
     /// Shortest retry_after of a denial.
