--- a/libs/routing/include/parsleyshift/routing/endpoint_health.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_health.hpp
@@ -94,7 +94,8 @@
     endpoint_health& operator=(endpoint_health&&) = default;
     ~endpoint_health() = default;
 
-    /// @brief Adds an endpoint to its pool; the ceiling on ejections counts the pool's members. O(1) on average.
+    /// @brief Adds an endpoint to its pool; the ceiling on ejections counts the pool's members. A known endpoint keeps
+    /// its state; for a new process under the same id, forget() comes first. O(1) on average.
     void add(const endpoint_id& endpoint, const pool_id& pool);
     /// @brief Removes an endpoint. O(pool).
     void forget(const endpoint_id& endpoint);
--- a/libs/routing/include/parsleyshift/routing/retry_policy.hpp
+++ b/libs/routing/include/parsleyshift/routing/retry_policy.hpp
@@ -101,7 +101,8 @@
     duration least_time_left{50};
 };
 
-/// @brief Retry within a budget, with exponential backoff and full jitter. O(1).
+/// @brief Retry within a budget, with exponential backoff and full jitter; only the first restart of an attempt that
+/// provably did not run begins at once, since another endpoint can take it and the budget bounds such restarts. O(1).
 class budgeted_retry
 {
   public:
--- a/libs/routing/src/endpoint_health.cpp
+++ b/libs/routing/src/endpoint_health.cpp
@@ -53,6 +53,11 @@
 
 void endpoint_health::add(const endpoint_id& endpoint, const pool_id& pool)
 {
+    const patient* known = find(endpoint);
+    if (known != nullptr && known->pool == pool)
+    {
+        return;
+    }
     forget(endpoint);
     patient& added = patients_[endpoint];
     added.endpoint = endpoint;
--- a/libs/routing/src/retry_policy.cpp
+++ b/libs/routing/src/retry_policy.cpp
@@ -43,7 +43,8 @@
     {
         return {retry_step::give_up, duration{}, true};
     }
-    const duration delay = delay_after(failed.attempts, random);
+    const bool at_once = failed.attempts == 1 && proves_not_run(failed.failure);
+    const duration delay = at_once ? duration{} : delay_after(failed.attempts, random);
     return {retry_step::restart, std::min(delay, failed.time_left - policy_.least_time_left), false};
 }
 
--- a/libs/routing/tests/endpoint_health_test.cpp
+++ b/libs/routing/tests/endpoint_health_test.cpp
@@ -229,6 +229,8 @@
     const std::vector<health_change> changes = health.evaluate(at_ms(302));
     LONGS_EQUAL(1, changes.size());
     CHECK(changes[0].state == health_state::ejected);
+    health.add(engine(0), pool);
+    CHECK(health.state(engine(0)) == health_state::ejected);
     // A failure while probing ejects again, for longer.
     health.evaluate(at_ms(2'400));
     CHECK(health.state(engine(0)) == health_state::probing);
