--- a/libs/configuration/include/parsleyshift/configuration/gossip_peers.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/gossip_peers.hpp
@@ -22,7 +22,8 @@
     /// @brief Sends a message to different random peers of the own region, or of any when there is none.
     void send_to_own_region(std::size_t count, const peer_message& message, random_source& random,
                             std::vector<send_to_peer>& messages) const;
-    /// @brief Sends a message to one random peer, with the given probability in another region.
+    /// @brief Sends a message to one random peer, with the given probability in another region; in small regions with
+    /// a higher one, so that each region sends one such message per round.
     void send_to_any(double remote_share, const peer_message& message, random_source& random,
                      std::vector<send_to_peer>& messages) const;
 
--- a/libs/configuration/include/parsleyshift/configuration/settings.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/settings.hpp
@@ -26,7 +26,8 @@
     duration peer_patience{5'000};
     /// Time between two digests.
     duration digest_interval{1'000};
-    /// Share of the digests that go to other regions while the own region has other members.
+    /// Least share of the digests that go to other regions; in regions of n < 10 members it is 1/n, since a region
+    /// whose readers cannot reach the service depends on them.
     double remote_share = 0.1;
     /// Peers of the own region that a new record is pushed to.
     std::size_t push_peers = 3;
--- a/libs/configuration/src/gossip_peers.cpp
+++ b/libs/configuration/src/gossip_peers.cpp
@@ -1,6 +1,6 @@
 #include <parsleyshift/configuration/gossip_peers.hpp>
 
-#include <algorithm> // min
+#include <algorithm> // find, max, min
 
 namespace parsleyshift
 {
@@ -49,7 +49,8 @@
     {
         return;
     }
-    const bool remote = own_region_.empty() || (!remote_.empty() && random.fraction() < remote_share);
+    const double share = std::max(remote_share, 1.0 / static_cast<double>(own_region_.size() + 1));
+    const bool remote = !remote_.empty() && random.fraction() < share;
     const std::vector<peer>& group = remote ? remote_ : own_region_;
     const peer& chosen = group[random.index(group.size())];
     messages.push_back({chosen.instance, chosen.address, message});
--- a/libs/configuration/tests/configuration_store_test.cpp
+++ b/libs/configuration/tests/configuration_store_test.cpp
@@ -77,6 +77,23 @@
     }
 }
 
+// Guards against a region that cannot reach the service and depends on few digests over the link between the regions.
+TEST(configuration_store, a_change_reaches_a_region_without_the_service_in_nine_seconds)
+{
+    store_network network{9, 3, 39};
+    network.loss = 0.05;
+    network.unreachable_from = 2;
+    network.write(record("a", "first"));
+    start_all(network);
+    for (int change = 0; change < 20; ++change)
+    {
+        const std::string body = "change " + std::to_string(change);
+        network.write(record("a", body));
+        network.run_for(9_s);
+        LONGS_EQUAL(0, without(network, "a", body));
+    }
+}
+
 // Guards against a read load on the service that grows with the instances; the bounds are the formula of
 // read_schedule, with a fifth more for reads at the start.
 TEST(configuration_store, calls_to_the_service_stay_within_the_formula)
--- a/libs/configuration/tests/store_network.hpp
+++ b/libs/configuration/tests/store_network.hpp
@@ -151,7 +151,7 @@
     {
         ++calls;
         const watch pending{index, nodes[index].life, action.after, calls};
-        if (!service_up)
+        if (!service_up || index % regions == unreachable_from)
         {
             const auto fail = [this, index]
             {
@@ -268,6 +268,8 @@
     time_point now = at_ms(1'000'000);
     double loss = 0.0;
     bool service_up = true;
+    /// Region without a link to the service.
+    std::size_t unreachable_from = 99;
     revision highest;
     std::vector<raw_record> records;
     std::vector<watch> watches;
