--- a/libs/configuration/tests/configuration_store_test.cpp
+++ b/libs/configuration/tests/configuration_store_test.cpp
@@ -2,6 +2,8 @@
 
 #include "CppUTest/TestHarness.h" // CHECK_TRUE
 
+#include <algorithm> // count_if
+
 using namespace parsleyshift;
 using namespace parsleyshift::literals;
 using parsleyshift::test_support::fake_acceptor;
@@ -75,6 +77,23 @@
     }
 }
 
+// Guards against a region that cannot reach the service and depends on few digests over the link between the regions.
+TEST(configuration_store, a_change_reaches_a_region_without_the_service_in_nine_seconds)
+{
+    store_network network{9, 3, 39};
+    network.loss = 0.05;
+    network.unreachable_from = 2;
+    network.write(record("a", "first"));
+    start_all(network);
+    for (int change = 0; change < 20; ++change)
+    {
+        const std::string body = "change " + std::to_string(change);
+        network.write(record("a", body));
+        network.run_for(9_s);
+        LONGS_EQUAL(0, without(network, "a", body));
+    }
+}
+
 // Guards against a read load on the service that grows with the instances; the bounds are the formula of
 // read_schedule, with a fifth more for reads at the start.
 TEST(configuration_store, calls_to_the_service_stay_within_the_formula)
@@ -288,6 +307,24 @@
     LONGS_EQUAL(1, out.unreadable.front().kept.value());
 }
 
+// Guards against a store that lacks a record of its own revision and hears digests from nobody: found by the property
+// with RC_PARAMS="seed=2 max_success=2000".
+TEST(configuration_store, a_digest_of_the_same_revision_is_answered_when_records_differ)
+{
+    fake_store store{member_update{}, fake_acceptor{}, {}, 1};
+    configuration_output out;
+    raw_record held = record("a", "one");
+    held.changed = revision{1};
+    store.handle(peer_envelope{instance_id{"1"}, {}, "1", {}, configuration_records{{}, {{held, true, true}}}},
+                 at_ms(1), out);
+    store.handle(peer_envelope{instance_id{"2"}, {}, "2", {}, configuration_digest{}}, at_ms(2), out);
+    const auto is_reply = [](const send_to_peer& sent)
+    {
+        return sent.peer_address == "2" && std::holds_alternative<configuration_digest>(sent.message);
+    };
+    LONGS_EQUAL(1, std::count_if(out.messages.begin(), out.messages.end(), is_reply));
+}
+
 // Guards against messages of many megabytes: each record may be 1 MB.
 TEST(configuration_store, large_records_travel_one_by_one)
 {
