--- a/apps/parsleyctl/operator_commands.cpp
+++ b/apps/parsleyctl/operator_commands.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-caller_answer ask(const command_line& line, http_transport& transport, const std::string& address, http_call request)
+caller_answer ask(const command_line& line, http_transport& transport, const std::string& address,
+                  client_request request)
 {
     request.bearer = line.text("operator-key");
     const auto answer = transport.call(address, request);
@@ -25,7 +26,7 @@
 }
 
 /// Asks each address; the exit code is that of the first address that did not answer.
-exit_code ask_all(const command_line& line, const http_call& request)
+exit_code ask_all(const command_line& line, const client_request& request)
 {
     http_transport transport = line.transport();
     exit_code worst = exit_code::completed;
--- a/apps/parsleyctl/record_commands.cpp
+++ b/apps/parsleyctl/record_commands.cpp
@@ -82,7 +82,8 @@
         record.name = member_or<std::string>(row, "name", "");
         record.schema = member_or<int>(row, "schema", 1);
         record.withdrawn = member_or<bool>(row, "withdrawn", false);
-        record.body = row.value("body", nlohmann::json{}).dump();
+        const nlohmann::json content = row.value("body", nlohmann::json{});
+        record.body = content.is_string() ? content.get<std::string>() : content.dump();
         records.push_back(std::move(record));
     }
     return records;
--- a/apps/standins/endpoint.cpp
+++ b/apps/standins/endpoint.cpp
@@ -1,6 +1,6 @@
 #include "endpoint.hpp" // registration
 
-#include <parsleyshift/client/http_connection.hpp> // http_connection
+#include <parsleyshift/client/client_connection.hpp> // client_connection
 
 #include <nlohmann/json.hpp> // json
 
@@ -49,7 +49,7 @@
                              {"availability_zone", endpoint.zone},
                              {"region", endpoint.region},
                              {"state", state}};
-    http_connection list{endpoint.list, duration{2'000}};
+    client_connection list{endpoint.list, duration{2'000}};
     const auto answer = list.call({"PUT", "/instances/" + url_escape(endpoint.id), row.dump(), ""});
     if (!answer || answer.value().status != 200)
     {
--- a/apps/standins/operate.cpp
+++ b/apps/standins/operate.cpp
@@ -1,7 +1,7 @@
 #include "standin.hpp" // run_publish, run_request
 
-#include <parsleyshift/client/http_connection.hpp> // http_connection
-#include <parsleyshift/records/record_files.hpp>   // read_record_files
+#include <parsleyshift/client/client_connection.hpp> // client_connection
+#include <parsleyshift/records/record_files.hpp>     // read_record_files
 
 #include <boost/asio/io_context.hpp> // io_context
 #include <boost/asio/ip/tcp.hpp>     // tcp
@@ -20,7 +20,7 @@
 
 constexpr duration stall{10'000};
 
-int write_record_at(http_connection& service, const raw_record& record)
+int write_record_at(client_connection& service, const raw_record& record)
 {
     const std::string target =
         "/records/" + record.kind + "/" + url_escape(record.name) + "?schema=" + std::to_string(record.schema);
@@ -50,7 +50,7 @@
         std::cerr << "standins publish: " << records.error().message() << "\n";
         return 2;
     }
-    http_connection service{argv[1], stall};
+    client_connection service{argv[1], stall};
     int failures = 0;
     for (const raw_record& record : records.value())
     {
@@ -85,7 +85,7 @@
         std::cerr << "usage: standins request METHOD IP:PORT TARGET [BODY]\n";
         return 2;
     }
-    http_connection server{argv[2], stall};
+    client_connection server{argv[2], stall};
     const auto answer = server.call({argv[1], argv[3], argc == 5 ? argv[4] : "", ""});
     if (!answer)
     {
--- a/libs/client/include/parsleyshift/client/caller.hpp
+++ b/libs/client/include/parsleyshift/client/caller.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <parsleyshift/client/caller_answer.hpp>    // caller_answer, entry_choice
-#include <parsleyshift/client/event_stream.hpp>     // event_stream
-#include <parsleyshift/client/generation_check.hpp> // generation_check
-#include <parsleyshift/client/http_connection.hpp>  // http_call, http_answer, body_sink
-#include <parsleyshift/core/clock.hpp>              // duration, time_point
+#include <parsleyshift/client/caller_answer.hpp>     // caller_answer, kept_entries
+#include <parsleyshift/client/client_connection.hpp> // client_request, client_response, body_sink
+#include <parsleyshift/client/event_stream.hpp>      // event_stream
+#include <parsleyshift/client/generation_check.hpp>  // generation_check
+#include <parsleyshift/core/clock.hpp>               // duration, time_point
 
 #include <algorithm> // find
 #include <concepts>  // same_as
@@ -19,15 +19,15 @@
 
 /// @brief How a caller reaches instances and waits; tests put in a fake.
 template <class Transport>
-concept caller_transport = requires(Transport& transport, const std::string& address, const http_call& call,
+concept caller_transport = requires(Transport& transport, const std::string& address, const client_request& call,
                                     const body_sink& sink, duration wait)
 {
     {
         transport.call(address, call)
-        } -> std::same_as<result<http_answer>>;
+        } -> std::same_as<result<client_response>>;
     {
         transport.stream(address, call, sink)
-        } -> std::same_as<result<http_answer>>;
+        } -> std::same_as<result<client_response>>;
     {
         transport.now()
         } -> std::same_as<time_point>;
@@ -81,13 +81,13 @@
         return last;
     }
     /// @brief The entry answer that entry() found last.
-    [[nodiscard]] const std::optional<entry_choice>& choice() const noexcept
+    [[nodiscard]] const std::optional<kept_entries>& choice() const noexcept
     {
         return choice_;
     }
     /// @brief Sends a request to the ranked entries until one accepts it or the tries are spent.
     /// @param again whether it may be sent again after a broken connection
-    caller_answer send(const http_call& request, repetition again)
+    caller_answer send(const client_request& request, repetition again)
     {
         return with_entries(
             [&](const std::string& address)
@@ -100,7 +100,7 @@
     /// @brief Runs a streamed generation to its end over as many connections as it takes.
     /// @param body request; its entry_token is filled in
     /// @param sink receives each token once and in order; valid until the end of the call
-    caller_answer generate(nlohmann::json body, const generation_sink& sink)
+    caller_answer generate(nlohmann::json body, const token_receiver& sink)
     {
         generation_check check{sink};
         caller_answer answer = with_entries(
@@ -129,7 +129,7 @@
         return cause.kind == error_kind::no_endpoint ? unreachable(cause.detail)
                                                      : failed_answer(outcome::unknown, cause);
     }
-    http_call with_key(http_call request) const
+    client_request with_key(client_request request) const
     {
         request.bearer = request.bearer.empty() ? options_.customer_key : request.bearer;
         return request;
@@ -163,7 +163,7 @@
         {
             return read;
         }
-        auto choice = read_entry_choice(read.body, transport_.now());
+        auto choice = read_kept_entries(read.body, transport_.now());
         if (!choice.has_value())
         {
             return failed_answer(outcome::not_run, make_error(error_kind::no_endpoint, "the answer names no entry"));
@@ -236,7 +236,7 @@
         const bool told = refusal.why.has_value() && refusal.why->retry_after.has_value();
         transport_.wait(std::min(told ? *refusal.why->retry_after : options_.default_wait, options_.longest_wait));
     }
-    caller_answer open_stream(const std::string& address, const http_call& request, generation_check& check)
+    caller_answer open_stream(const std::string& address, const client_request& request, generation_check& check)
     {
         event_stream events;
         const auto take = [&check](const stream_event& event)
@@ -317,7 +317,7 @@
 
     Transport& transport_;
     caller_options options_;
-    std::optional<entry_choice> choice_;
+    std::optional<kept_entries> choice_;
     std::size_t next_entry_ = 0;
 };
 
--- a/libs/client/include/parsleyshift/client/caller_answer.hpp
+++ b/libs/client/include/parsleyshift/client/caller_answer.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <parsleyshift/client/http_connection.hpp> // http_answer
-#include <parsleyshift/core/clock.hpp>             // duration, time_point
-#include <parsleyshift/core/error.hpp>             // error_kind
-#include <parsleyshift/messages/request.hpp>       // outcome
+#include <parsleyshift/client/client_connection.hpp> // client_response
+#include <parsleyshift/core/clock.hpp>               // duration, time_point
+#include <parsleyshift/core/error.hpp>               // error_kind
+#include <parsleyshift/messages/request.hpp>         // outcome
 
 #include <nlohmann/json.hpp> // json
 
@@ -49,7 +49,7 @@
 };
 
 /// @brief Ranked addresses for a customer and the time for which to keep them.
-struct entry_choice
+struct kept_entries
 {
     std::vector<entry_address> entries;
     std::string token;
@@ -57,12 +57,12 @@
 };
 
 /// @brief Reads an answer of the caller interface. Tolerates additional members.
-caller_answer read_caller_answer(const http_answer& answer);
+caller_answer read_caller_answer(const client_response& answer);
 /// @brief Reads an error body or an error event.
 caller_problem read_problem(const nlohmann::json& body);
 /// @brief Reads an entry answer. @param now time from which it may be kept
 /// @return nothing when it holds no entry
-std::optional<entry_choice> read_entry_choice(const nlohmann::json& body, time_point now);
+std::optional<kept_entries> read_kept_entries(const nlohmann::json& body, time_point now);
 /// @brief The answer for a request that failed in the client.
 caller_answer failed_answer(outcome what, const error& cause);
 /// @brief True when another instance or a later time may give a better answer, and the request did not run.
--- a/libs/client/include/parsleyshift/client/http_connection.hpp
+++ b/libs/client/include/parsleyshift/client/client_connection.hpp
@@ -13,7 +13,7 @@
 {
 
 /// @brief One HTTP request of a client.
-struct http_call
+struct client_request
 {
     std::string method = "GET";
     /// Path and query, already escaped.
@@ -24,7 +24,7 @@
 };
 
 /// @brief Answer with its whole body.
-struct http_answer
+struct client_response
 {
     int status = 0;
     std::string body;
@@ -37,7 +37,7 @@
 ///
 /// Every step has a time limit. Errors: error_kind::no_endpoint when no byte was sent, since no connection could be
 /// made; error_kind::link_broken when the connection broke or stalled after that, so that the call may have run.
-class http_connection
+class client_connection
 {
   public:
     /// Bytes of a body that call() accepts.
@@ -45,18 +45,18 @@
 
     /// @param address "ip:port"
     /// @param stall longest time without any progress of a connect, a write or a read
-    http_connection(std::string address, duration stall);
-    ~http_connection();
-    http_connection(http_connection&&) noexcept;
-    http_connection& operator=(http_connection&&) noexcept;
-    http_connection(const http_connection&) = delete;
-    http_connection& operator=(const http_connection&) = delete;
+    client_connection(std::string address, duration stall);
+    ~client_connection();
+    client_connection(client_connection&&) noexcept;
+    client_connection& operator=(client_connection&&) noexcept;
+    client_connection(const client_connection&) = delete;
+    client_connection& operator=(const client_connection&) = delete;
 
     /// @brief Sends a request and reads the whole answer.
-    result<http_answer> call(const http_call& request);
+    result<client_response> call(const client_request& request);
     /// @brief Sends a request and hands over the body of an answer with status 200 as it arrives.
     /// @return the status; the body is set only for a status other than 200
-    result<http_answer> stream(const http_call& request, const body_sink& sink);
+    result<client_response> stream(const client_request& request, const body_sink& sink);
 
     [[nodiscard]] const std::string& address() const noexcept;
 
--- a/libs/client/include/parsleyshift/client/generation_check.hpp
+++ b/libs/client/include/parsleyshift/client/generation_check.hpp
@@ -12,7 +12,7 @@
 {
 
 /// @brief Receives a streamed generation.
-struct generation_sink
+struct token_receiver
 {
     /// Called once for each connection that carries the generation, with the instance's name; may be empty.
     std::function<void(const std::string& instance)> started;
@@ -24,7 +24,7 @@
 class generation_check
 {
   public:
-    explicit generation_check(generation_sink sink) : sink_(std::move(sink)) {}
+    explicit generation_check(token_receiver sink) : sink_(std::move(sink)) {}
 
     /// @brief Takes an event. @return false when the connection has nothing more to say
     bool take(const stream_event& event);
@@ -63,7 +63,7 @@
     bool take_end(const nlohmann::json& data);
     bool violate(const std::string& what);
 
-    generation_sink sink_;
+    token_receiver sink_;
     std::string generation_;
     std::string continuation_;
     std::int64_t received_ = 0;
--- a/libs/client/include/parsleyshift/client/http_transport.hpp
+++ b/libs/client/include/parsleyshift/client/http_transport.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <parsleyshift/client/http_connection.hpp> // http_connection
-#include <parsleyshift/core/clock.hpp>             // duration, millisecond_clock
+#include <parsleyshift/client/client_connection.hpp> // client_connection
+#include <parsleyshift/core/clock.hpp>               // duration, millisecond_clock
 
 #include <string> // string
 #include <thread> // sleep_for
@@ -17,11 +17,11 @@
     /// @param stall longest time without any progress
     explicit http_transport(duration stall) : stall_(stall) {}
 
-    result<http_answer> call(const std::string& address, const http_call& request)
+    result<client_response> call(const std::string& address, const client_request& request)
     {
         return connection(address).call(request);
     }
-    result<http_answer> stream(const std::string& address, const http_call& request, const body_sink& sink)
+    result<client_response> stream(const std::string& address, const client_request& request, const body_sink& sink)
     {
         return connection(address).stream(request, sink);
     }
@@ -37,9 +37,9 @@
   private:
     static constexpr std::size_t max_connections = 64;
 
-    http_connection& connection(const std::string& address)
+    client_connection& connection(const std::string& address)
     {
-        for (http_connection& open : open_)
+        for (client_connection& open : open_)
         {
             if (open.address() == address)
             {
@@ -54,7 +54,7 @@
     }
 
     duration stall_;
-    std::vector<http_connection> open_;
+    std::vector<client_connection> open_;
 };
 
 } // namespace parsleyshift
--- a/libs/client/src/caller_answer.cpp
+++ b/libs/client/src/caller_answer.cpp
@@ -32,7 +32,7 @@
     return problem;
 }
 
-caller_answer read_caller_answer(const http_answer& answer)
+caller_answer read_caller_answer(const client_response& answer)
 {
     caller_answer read;
     read.body = nlohmann::json::parse(answer.body, nullptr, false);
@@ -51,9 +51,9 @@
     return read;
 }
 
-std::optional<entry_choice> read_entry_choice(const nlohmann::json& body, time_point now)
+std::optional<kept_entries> read_kept_entries(const nlohmann::json& body, time_point now)
 {
-    entry_choice choice;
+    kept_entries choice;
     if (!body.is_object() || !body.contains("entries") || !body["entries"].is_array())
     {
         return std::nullopt;
--- a/libs/client/src/http_connection.cpp
+++ b/libs/client/src/client_connection.cpp
@@ -1,4 +1,4 @@
-#include <parsleyshift/client/http_connection.hpp> // http_connection
+#include <parsleyshift/client/client_connection.hpp> // client_connection
 
 #include <boost/asio/io_context.hpp>        // io_context
 #include <boost/asio/ip/tcp.hpp>            // tcp
@@ -23,7 +23,7 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-class http_connection::implementation
+class client_connection::implementation
 {
   public:
     implementation(std::string address, duration stall) : address_(std::move(address)), stall_(stall.count()) {}
@@ -33,7 +33,7 @@
         return address_;
     }
 
-    result<http_answer> run(const http_call& call, const body_sink* sink)
+    result<client_response> run(const client_request& call, const body_sink* sink)
     {
         const auto request = to_request(call);
         const bool reused = stream_.has_value();
@@ -49,7 +49,7 @@
   private:
     using request_type = http::request<http::string_body>;
 
-    [[nodiscard]] request_type to_request(const http_call& call) const
+    [[nodiscard]] request_type to_request(const client_request& call) const
     {
         request_type request{http::string_to_verb(call.method), call.target, 11};
         request.set(http::field::host, address_);
@@ -65,7 +65,7 @@
         request.prepare_payload();
         return request;
     }
-    result<http_answer> attempt(const request_type& request, const body_sink* sink)
+    result<client_response> attempt(const request_type& request, const body_sink* sink)
     {
         received_ = false;
         if (const error_code failed = connect())
@@ -80,7 +80,7 @@
         }
         return answer;
     }
-    result<http_answer> exchange(const request_type& request, const body_sink* sink)
+    result<client_response> exchange(const request_type& request, const body_sink* sink)
     {
         if (const error_code failed = wait([&](auto done) { http::async_write(*stream_, request, std::move(done)); }))
         {
@@ -96,9 +96,9 @@
         received_ = true;
         return read_body(parser, sink);
     }
-    result<http_answer> read_body(http::response_parser<http::buffer_body>& parser, const body_sink* sink)
+    result<client_response> read_body(http::response_parser<http::buffer_body>& parser, const body_sink* sink)
     {
-        http_answer answer;
+        client_response answer;
         answer.status = static_cast<int>(parser.get().result_int());
         const bool streamed = sink != nullptr && answer.status == 200;
         std::array<char, 16 * 1024> piece{};
@@ -180,25 +180,25 @@
     beast::flat_buffer buffer_;
 };
 
-http_connection::http_connection(std::string address, duration stall)
+client_connection::client_connection(std::string address, duration stall)
     : implementation_(std::make_unique<implementation>(std::move(address), stall))
 {
 }
-http_connection::~http_connection() = default;
-http_connection::http_connection(http_connection&&) noexcept = default;
-http_connection& http_connection::operator=(http_connection&&) noexcept = default;
+client_connection::~client_connection() = default;
+client_connection::client_connection(client_connection&&) noexcept = default;
+client_connection& client_connection::operator=(client_connection&&) noexcept = default;
 
-result<http_answer> http_connection::call(const http_call& request)
+result<client_response> client_connection::call(const client_request& request)
 {
     return implementation_->run(request, nullptr);
 }
 
-result<http_answer> http_connection::stream(const http_call& request, const body_sink& sink)
+result<client_response> client_connection::stream(const client_request& request, const body_sink& sink)
 {
     return implementation_->run(request, &sink);
 }
 
-const std::string& http_connection::address() const noexcept
+const std::string& client_connection::address() const noexcept
 {
     return implementation_->address();
 }
--- a/libs/client/tests/http_connection_test.cpp
+++ b/libs/client/tests/client_connection_test.cpp
@@ -1,6 +1,6 @@
 #include <parsleyshift/test_support/property.hpp> // CppUTest
 
-#include <parsleyshift/client/http_connection.hpp> // http_connection
+#include <parsleyshift/client/client_connection.hpp> // client_connection
 
 #include <boost/asio/io_context.hpp> // io_context
 #include <boost/asio/ip/tcp.hpp>     // tcp
@@ -91,14 +91,14 @@
 
 } // namespace
 
-TEST_GROUP(http_connection){};
+TEST_GROUP(client_connection){};
 
 // Guards against a new connection for each call, and against headers that the daemon needs.
-TEST(http_connection, keeps_its_connection_and_sends_the_key)
+TEST(client_connection, keeps_its_connection_and_sends_the_key)
 {
     const std::string fine = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     scripted_server server{{fine, fine}};
-    http_connection client{server.address(), stall};
+    client_connection client{server.address(), stall};
     STRCMP_EQUAL("ok", client.call({"GET", "/a", "", "secret"}).value().body.c_str());
     STRCMP_EQUAL("ok", client.call({"GET", "/b", "", ""}).value().body.c_str());
     LONGS_EQUAL(1, server.connections());
@@ -107,29 +107,29 @@
 }
 
 // Guards against telling `may have run` and `did not run` wrongly, on which resending depends.
-TEST(http_connection, tells_a_refused_connection_from_a_broken_one)
+TEST(client_connection, tells_a_refused_connection_from_a_broken_one)
 {
     std::string unused;
     {
         scripted_server server{{""}};
         unused = server.address();
-        http_connection client{server.address(), stall};
+        client_connection client{server.address(), stall};
         CHECK(client.call({"POST", "/a", "{}", ""}).error().kind == error_kind::link_broken);
     }
-    http_connection client{unused, stall};
+    client_connection client{unused, stall};
     CHECK(client.call({"POST", "/a", "{}", ""}).error().kind == error_kind::no_endpoint);
-    http_connection wrong{"not an address", stall};
+    client_connection wrong{"not an address", stall};
     CHECK(wrong.call({}).error().kind == error_kind::no_endpoint);
 }
 
 // Guards against a stream that ends without its last chunk and looks whole.
-TEST(http_connection, a_stream_that_is_cut_is_an_error)
+TEST(client_connection, a_stream_that_is_cut_is_an_error)
 {
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n";
     for (const bool cut : {false, true})
     {
         scripted_server server{{head + "3\r\nabc\r\n" + (cut ? "" : "0\r\n\r\n")}};
-        http_connection client{server.address(), stall};
+        client_connection client{server.address(), stall};
         std::string body;
         const auto answer = client.stream({"GET", "/", "", ""},
                                           [&body](std::string_view piece)
@@ -143,7 +143,7 @@
 }
 
 // Guards against names that break the path of a request.
-TEST(http_connection, escapes_names)
+TEST(client_connection, escapes_names)
 {
     STRCMP_EQUAL("a%20b%2F%C3%A1~", url_escape("a b/\xc3\xa1~").c_str());
 }
--- a/libs/client/tests/client_test.cpp
+++ b/libs/client/tests/client_test.cpp
@@ -41,12 +41,12 @@
     duration waited{0};
     std::vector<std::string> asked;
 
-    result<http_answer> call(const std::string& address, const http_call& request)
+    result<client_response> call(const std::string& address, const client_request& request)
     {
         asked.push_back(address + " " + request.target);
         if (request.target.starts_with("/v1/entry"))
         {
-            return http_answer{
+            return client_response{
                 200, json{{"entries", {{{"address", "a:1"}}, {{"address", "b:1"}}}}, {"keep_ms", 5'000}, {"token", "t"}}
                          .dump()};
         }
@@ -59,9 +59,9 @@
         {
             return make_error(error_kind::link_broken, "cut");
         }
-        return now == fault::refuse ? refusal() : http_answer{200, R"({"outcome":"completed","result":1})"};
+        return now == fault::refuse ? refusal() : client_response{200, R"({"outcome":"completed","result":1})"};
     }
-    result<http_answer> stream(const std::string& address, const http_call& request, const body_sink& sink)
+    result<client_response> stream(const std::string& address, const client_request& request, const body_sink& sink)
     {
         asked.push_back(address + " " + request.target);
         const fault now = take_fault();
@@ -80,14 +80,14 @@
         {
             if (!sink(std::string_view{text}.substr(start, piece_bytes)))
             {
-                return http_answer{200, ""};
+                return client_response{200, ""};
             }
         }
         if (now == fault::cut)
         {
             return make_error(error_kind::link_broken, "cut");
         }
-        return http_answer{200, ""};
+        return client_response{200, ""};
     }
     time_point now() const
     {
@@ -104,7 +104,7 @@
     {
         return next < faults.size() ? faults[next++] : fault::none;
     }
-    static http_answer refusal()
+    static client_response refusal()
     {
         return {503, R"({"outcome":"not_run","kind":"queue_full","code":202,"message":"m","retry_after_ms":70})"};
     }
@@ -149,11 +149,11 @@
 {
     caller<fake_transport> client{transport, options_for("a:1")};
     generated made;
-    const generation_sink sink{{},
-                               [&made](const std::string& token)
-                               {
-                                   made.tokens.push_back(token);
-                               }};
+    const token_receiver sink{{},
+                              [&made](const std::string& token)
+                              {
+                                  made.tokens.push_back(token);
+                              }};
     made.answer = client.generate(json{{"prompt", "p"}}, sink);
     return made;
 }
