--- a/cmake/parsleyshift.cmake
+++ b/cmake/parsleyshift.cmake
@@ -12,8 +12,7 @@
 
 add_library(parsleyshift_warnings INTERFACE)
 target_compile_options(parsleyshift_warnings INTERFACE
-    -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wno-sign-conversion
-    -Wzero-as-null-pointer-constant -Werror)
+    -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wno-sign-conversion -Werror)
 
 # parsleyshift_library(name dependency...) builds libs/<name> from src/ and its tests from tests/.
 # A dependency is the name of another library of the workspace or any CMake target.
@@ -24,6 +23,10 @@
         add_library(${target} STATIC ${sources})
         set(scope PUBLIC)
         target_link_libraries(${target} PRIVATE parsleyshift_warnings)
+        # Headers of Beast and Thrift compare with 0 where a null pointer is meant.
+        if(NOT name MATCHES "^(client|runtime|wire)$")
+            target_compile_options(${target} PRIVATE -Wzero-as-null-pointer-constant)
+        endif()
     else()
         add_library(${target} INTERFACE)
         set(scope INTERFACE)
--- a/libs/decision_core/include/parsleyshift/decision_core/decision_core.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/decision_core.hpp
@@ -48,6 +48,9 @@
     /// @brief Lower-case hex SHA-256 of a customer's key; empty when callers need not prove who they are. O(1).
     [[nodiscard]] std::string key_sha256(const customer_id& customer) const;
 
+    /// @brief Configuration revision up to which this instance knows every change; goes into the envelopes to peers.
+    [[nodiscard]] revision highest_revision() const;
+
   private:
     class implementation;
 
--- a/libs/decision_core/src/decision_core.cpp
+++ b/libs/decision_core/src/decision_core.cpp
@@ -61,6 +61,11 @@
         return record == nullptr ? std::string{} : record->key_sha256;
     }
 
+    [[nodiscard]] revision highest_revision() const
+    {
+        return state_.configuration.highest();
+    }
+
   private:
     template <class Request>
     void on(const Request& asked) requires needs_configuration<Request>
@@ -431,6 +436,11 @@
     return parts_->next_deadline();
 }
 
+revision decision_core::highest_revision() const
+{
+    return parts_->highest_revision();
+}
+
 std::string decision_core::key_sha256(const customer_id& customer) const
 {
     return parts_->key_sha256(customer);
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -61,6 +61,7 @@
 struct configuration_pull
 {
     1: list<i32> buckets
+    2: i64 after
 }
 
 struct shared_record
@@ -72,12 +73,16 @@
     5: bool withdrawn
     6: string body
     7: bool active
+    8: bool accepted = true
 }
 
 struct configuration_records
 {
     1: i64 highest
     2: list<shared_record> records
+    3: bool complete
+    4: i64 after
+    5: bool answer
 }
 
 struct work_description
@@ -167,6 +172,7 @@
     1: string customer
     2: i64 sequence
     3: i64 tokens
+    4: i64 receiver
 }
 
 struct budget_request
@@ -180,6 +186,26 @@
     1: i64 request
     2: list<string> deaths
     3: i64 expires
+    4: list<i64> times
+    5: i64 cleared
+}
+
+struct permit_queued
+{
+    1: i64 request
+}
+
+struct stream_takeover
+{
+    1: i64 attempt
+}
+
+struct endpoint_health_notice
+{
+    1: string pool
+    2: string endpoint
+    3: double weight = 1.0
+    4: i64 expires
 }
 
 union message
@@ -202,6 +228,9 @@
     16: budget_loan budget_loan_value
     17: budget_request budget_request_value
     18: quarantine_notice quarantine_notice_value
+    19: permit_queued permit_queued_value
+    20: stream_takeover stream_takeover_value
+    21: endpoint_health_notice endpoint_health_notice_value
 }
 
 struct envelope
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -58,6 +58,10 @@
     {
         wire = to_ms(value);
     }
+    void operator()(double& wire, const double& value) const
+    {
+        wire = value;
+    }
     template <enumeration Value>
     void operator()(std::int32_t& wire, const Value& value) const
     {
@@ -123,6 +127,10 @@
     {
         value = at_ms(wire);
     }
+    void operator()(const double& wire, double& value) const
+    {
+        value = wire;
+    }
     template <enumeration Value>
     void operator()(const std::int32_t& wire, Value& value) const
     {
@@ -238,6 +246,7 @@
 void fields(auto copy, auto& wire, like<configuration_pull> auto& value)
 {
     copy(wire.buckets, value.buckets);
+    copy(wire.after, value.after);
 }
 
 void fields(auto copy, auto& wire, like<shared_record> auto& value)
@@ -249,12 +258,16 @@
     copy(wire.withdrawn, value.record.withdrawn);
     copy(wire.body, value.record.body);
     copy(wire.active, value.active);
+    copy(wire.accepted, value.accepted);
 }
 
 void fields(auto copy, auto& wire, like<configuration_records> auto& value)
 {
     copy(wire.highest, value.highest);
     copy(wire.records, value.records);
+    copy(wire.complete, value.complete);
+    copy(wire.after, value.after);
+    copy(wire.answer, value.answer);
 }
 
 void fields(auto copy, auto& wire, like<work_description> auto& value)
@@ -363,6 +376,7 @@
     copy(wire.customer, value.customer);
     copy(wire.sequence, value.sequence);
     copy(wire.tokens, value.tokens);
+    copy(wire.receiver, value.receiver);
 }
 
 void fields(auto copy, auto& wire, like<budget_request> auto& value)
@@ -376,6 +390,26 @@
     copy(wire.request, value.request);
     copy(wire.deaths, value.deaths);
     copy(wire.expires, value.expires);
+    copy(wire.times, value.times);
+    copy(wire.cleared, value.cleared);
+}
+
+void fields(auto copy, auto& wire, like<permit_queued> auto& value)
+{
+    copy(wire.request, value.request);
+}
+
+void fields(auto copy, auto& wire, like<stream_takeover> auto& value)
+{
+    copy(wire.attempt, value.attempt);
+}
+
+void fields(auto copy, auto& wire, like<endpoint_health_notice> auto& value)
+{
+    copy(wire.pool, value.pool);
+    copy(wire.endpoint, value.endpoint);
+    copy(wire.weight, value.weight);
+    copy(wire.expires, value.expires);
 }
 
 /// @brief Calls `visit(member, message_type, is_set)` for each member of the union; the result says whether it is set.
@@ -406,6 +440,11 @@
     set.budget_request_value = visit(m.budget_request_value, message_type<budget_request>{}, set.budget_request_value);
     set.quarantine_notice_value =
         visit(m.quarantine_notice_value, message_type<quarantine_notice>{}, set.quarantine_notice_value);
+    set.permit_queued_value = visit(m.permit_queued_value, message_type<permit_queued>{}, set.permit_queued_value);
+    set.stream_takeover_value =
+        visit(m.stream_takeover_value, message_type<stream_takeover>{}, set.stream_takeover_value);
+    set.endpoint_health_notice_value =
+        visit(m.endpoint_health_notice_value, message_type<endpoint_health_notice>{}, set.endpoint_health_notice_value);
 }
 
 } // namespace parsleyshift::detail
--- a/scenarios/fleet/fake_fleet.cpp
+++ b/scenarios/fleet/fake_fleet.cpp
@@ -388,6 +388,7 @@
     envelope.sender = instance_id{from.settings.name};
     envelope.started = incarnation{from.incarnation};
     envelope.peer_address = peer_address_of(from.settings.name);
+    envelope.highest = from.core->highest_revision();
     envelope.message = message.message;
     int copies = random_.fraction() < links.loss ? 0 : 1;
     copies += random_.fraction() < links.duplication ? 1 : 0;
