--- a/libs/membership/include/parsleyshift/membership/membership.hpp
+++ b/libs/membership/include/parsleyshift/membership/membership.hpp
@@ -29,11 +29,11 @@
 /// Cost per instance and second, with U = 150 bytes per update, H = 80 bytes per message, n members, f the share of
 /// probes that fail and L departures per second in the fleet:
 ///
-///     messages = 2 + 4 * f + 0.2 (dead members) + L * (ln(n) + 5)
+///     messages = 2 + 4 * f + 0.2 (dead members) + L * (ln(n) + 6)
 ///     bytes   <= (2 + 4 * f + 0.2) * (H + 8 * U) + L * (ln(n) + 5) * (H + U)
 ///
 /// which is at most 2.9 KB/s at 1,600 instances with 2,260 departures a day and f = 0.01, whatever n is. The answer
-/// to a join is n * U bytes once per process start (240 KB at 1,600), in messages of 64 updates.
+/// to a join is n * U bytes twice per process start (2 * 240 KB at 1,600), in messages of 64 updates.
 class membership
 {
   public:
@@ -121,6 +121,8 @@
         incarnation started;
         std::uint32_t refutation = 0;
         time_point since;
+        /// The suspect was asked once more.
+        bool asked = false;
     };
     /// A state that this instance gave a member while its own links were in doubt, and told nobody.
     struct private_blame
@@ -160,6 +162,7 @@
 
     // Joining.
     void ask_for_view(time_point now, membership_output& out);
+    void ask_for_second_view(membership_output& out);
     void receive(const peer_envelope& envelope, const member_updates& message, time_point now, membership_output& out);
     void answer_view(const peer_envelope& envelope, time_point now, membership_output& out);
 
@@ -205,6 +208,7 @@
     std::uint64_t next_sequence_ = 1;
     bool joined_ = false;
     bool view_received_ = false;
+    bool second_view_received_ = false;
     bool superseded_ = false;
     membership_traffic traffic_;
 };
--- a/libs/membership/include/parsleyshift/membership/settings.hpp
+++ b/libs/membership/include/parsleyshift/membership/settings.hpp
@@ -17,7 +17,8 @@
     duration ack_timeout{300};
     /// Peers that are asked for an indirect probe.
     std::size_t indirect_probes = 3;
-    /// Suspicion lasts suspicion_factor * max(1, log10(live members)) * probe_interval * (1 + health score).
+    /// Suspicion lasts suspicion_factor * max(1, log10(live members)) * probe_interval * (1 + health score);
+    /// then the suspect is probed once more, and evicted one probe_interval later.
     double suspicion_factor = 4.0;
     /// Member updates in one probe, acknowledgement or announcement.
     std::size_t updates_per_message = 8;
@@ -40,6 +41,8 @@
     std::size_t join_peers = 3;
     /// Time after which the next listed peer is asked.
     duration join_retry{1'000};
+    /// Time after the first view at which another member is asked, since the first one may have started just before.
+    duration second_view_after{10'000};
     /// Time after the first call at which an instance without an answer counts as joined.
     duration join_patience{5'000};
     /// Updates in one message of an answer to a join, about 10 KB.
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -1,6 +1,6 @@
 #include <parsleyshift/membership/membership.hpp>
 
-#include <algorithm> // max, min
+#include <algorithm> // find_if, max, min
 #include <cmath>     // log10
 #include <cstdlib>   // abs
 #include <utility>   // move
@@ -266,6 +266,7 @@
     for (suspicion& suspected : suspicions_)
     {
         suspected.since = now;
+        suspected.asked = false;
     }
 }
 
@@ -306,15 +307,29 @@
 {
     while (!suspicions_.empty() && suspicions_.front().since + suspicion_timeout() <= now)
     {
-        const suspicion expired = suspicions_.front();
+        suspicion expired = suspicions_.front();
         suspicions_.pop_front();
         const member_update* member = table_.find(expired.instance);
         const bool same = member != nullptr && member->state == member_state::suspect &&
                           member->started == expired.started && member->refutation == expired.refutation;
-        if (same)
+        if (!same)
+        {
+            continue;
+        }
+        if (expired.asked)
         {
             blame(expired.instance, member_state::dead, now, out);
+            continue;
         }
+        // The refutation may still be on its way through the other members; the suspect's own answer carries it.
+        send(expired.instance, member->peer_address, probe{next_sequence_++, piggyback(expired.instance)}, out);
+        expired.asked = true;
+        expired.since = now + settings_.probe_interval - suspicion_timeout();
+        const auto later = [&](const suspicion& other)
+        {
+            return other.since > expired.since;
+        };
+        suspicions_.insert(std::find_if(suspicions_.begin(), suspicions_.end(), later), expired);
     }
 }
 
--- a/libs/membership/src/probing.cpp
+++ b/libs/membership/src/probing.cpp
@@ -183,7 +183,12 @@
 void membership::ask_for_view(time_point now, membership_output& out)
 {
     next_join_ = now + settings_.join_retry;
-    if (view_received_ || join_candidates_.empty())
+    if (view_received_)
+    {
+        ask_for_second_view(out);
+        return;
+    }
+    if (join_candidates_.empty())
     {
         next_join_ = never;
         return;
@@ -208,6 +213,16 @@
     send(chosen.instance, chosen.address, member_updates{{self_}, true}, out);
 }
 
+void membership::ask_for_second_view(membership_output& out)
+{
+    const std::span<const member_update> members = table_.all();
+    const member_update& chosen = members[random_.index(members.size())];
+    if (chosen.instance != self_.instance && is_live(chosen.state))
+    {
+        send(chosen.instance, chosen.peer_address, member_updates{{self_}, true}, out);
+    }
+}
+
 void membership::receive(const peer_envelope& envelope, const member_updates& message, time_point now,
                          membership_output& out)
 {
@@ -216,13 +231,15 @@
         answer_view(envelope, now, out);
         return;
     }
-    if (next_join_ != never && !view_received_)
+    if (next_join_ != never && !second_view_received_)
     {
         // Only a member that has answered a join, or that announces a stop, sends updates outside of probes.
         const bool from_view = !message.updates.empty() && message.updates.front().instance == envelope.sender;
-        view_received_ = from_view;
+        second_view_received_ = from_view && view_received_;
+        view_received_ = view_received_ || from_view;
         joined_ = joined_ || from_view;
-        next_join_ = from_view ? never : next_join_;
+        const time_point next = second_view_received_ ? never : now + settings_.second_view_after;
+        next_join_ = from_view ? next : next_join_;
     }
 }
 
