--- a/apps/standins/configuration.cpp
+++ b/apps/standins/configuration.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr std::size_t max_value_bytes = 1024 * 1024;
+constexpr std::size_t max_value_bytes = std::size_t{1024} * 1024;
 constexpr std::size_t max_records = 50'000;
 constexpr std::int64_t max_wait_ms = 60'000;
 
--- a/libs/client/src/client_connection.cpp
+++ b/libs/client/src/client_connection.cpp
@@ -101,7 +101,7 @@
         client_response answer;
         answer.status = static_cast<int>(parser.get().result_int());
         const bool streamed = sink != nullptr && answer.status == 200;
-        std::array<char, 16 * 1024> piece{};
+        std::array<char, std::size_t{16} * 1024> piece{};
         while (!parser.is_done())
         {
             parser.get().body().data = piece.data();
--- a/libs/client/tests/client_connection_test.cpp
+++ b/libs/client/tests/client_connection_test.cpp
@@ -34,6 +34,8 @@
     }
     scripted_server(const scripted_server&) = delete;
     scripted_server& operator=(const scripted_server&) = delete;
+    scripted_server(scripted_server&&) = delete;
+    scripted_server& operator=(scripted_server&&) = delete;
 
     [[nodiscard]] const std::string& address() const
     {
