--- a/bench/data_path/stream_client.cpp
+++ b/bench/data_path/stream_client.cpp
@@ -160,12 +160,11 @@
                   "\r\n\r\n" + body;
     run.open = load.streams;
     run.figures.transit.reserve(static_cast<std::size_t>(load.streams * load.tokens));
-    // Opened over one interval, so that the streams do not all send at the same moment.
     std::vector<std::unique_ptr<asio::steady_timer>> starts;
     for (int i = 0; i < load.streams; ++i)
     {
         auto& timer = *starts.emplace_back(std::make_unique<asio::steady_timer>(run.context));
-        timer.expires_after(std::chrono::microseconds{load.interval_us * i / load.streams});
+        timer.expires_after(std::chrono::microseconds{load.open_ms * 1000 * i / load.streams});
         timer.async_wait([&run, port](const auto&) { std::make_shared<client_stream>(run)->begin(port); });
     }
     run.context.run_for(time_limit);
--- a/bench/data_path/stream_client.hpp
+++ b/bench/data_path/stream_client.hpp
@@ -14,6 +14,8 @@
     std::int64_t tokens = 1;
     /// Between the tokens of one stream; 0: without pause.
     std::int64_t interval_us = 0;
+    /// Time over which the streams are opened.
+    std::int64_t open_ms = 0;
 };
 
 /// @brief What the caller saw, times in nanoseconds.
--- a/libs/runtime/include/parsleyshift/runtime/channel.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/channel.hpp
@@ -51,6 +51,11 @@
             wake_consumer_();
         }
     }
+    /// @brief Producer: true when announce() would wake the consumer.
+    [[nodiscard]] bool unannounced() const noexcept
+    {
+        return unannounced_;
+    }
     /// @brief Producer: true while elements are held back.
     [[nodiscard]] bool congested() const noexcept
     {
--- a/libs/runtime/include/parsleyshift/runtime/daemon_runtime.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/daemon_runtime.hpp
@@ -7,6 +7,8 @@
 #include <parsleyshift/runtime/decider.hpp>       // decider
 #include <parsleyshift/runtime/inbound_event.hpp> // inbound_event
 
+#include <pthread.h> // pthread_setname_np
+
 #include <algorithm> // max
 #include <thread>    // thread
 #include <utility>   // move
@@ -47,6 +49,7 @@
     {
         BOOST_OUTCOME_TRY(io_.start());
         decisions_ = std::thread([this] { run(); });
+        pthread_setname_np(decisions_.native_handle(), "decisions");
         return boost::outcome_v2::success();
     }
     [[nodiscard]] std::uint16_t caller_port() const noexcept
--- a/libs/runtime/src/daemon_io.cpp
+++ b/libs/runtime/src/daemon_io.cpp
@@ -257,9 +257,10 @@
     s.caller_port = s.caller_side.port();
     s.peer_port = s.peer_side.port();
     s.run_on(platform, [&s] { s.platform_side.start(); });
-    for (const auto& each : s.threads)
+    constexpr std::array names{"callers", "endpoints", "peers", "platform"};
+    for (std::size_t i = 0; i < thread_count; ++i)
     {
-        each->start(s.log);
+        s.threads[i]->start(s.log, names[i]);
     }
     s.log.write(log_level::info, log_event::instance_started,
                 "callers on port " + std::to_string(s.caller_port) + ", peers on port " + std::to_string(s.peer_port));
--- a/libs/runtime/src/endpoint_client.cpp
+++ b/libs/runtime/src/endpoint_client.cpp
@@ -2,6 +2,8 @@
 
 #include "generation_sink.hpp" // generation_sink
 
+#include <boost/asio/post.hpp> // post
+
 #include <utility> // move
 #include <variant> // visit
 
@@ -21,7 +23,8 @@
     return "/generations/" + std::to_string(attempt.value());
 }
 
-http_client_options client_options(const endpoint_client_options& options, channel<inbound_event>& events)
+http_client_options client_options(const endpoint_client_options& options, channel<inbound_event>& events,
+                                   std::function<void()> batch_done)
 {
     http_client_options made;
     made.connect_timeout = options.connect_timeout;
@@ -30,10 +33,7 @@
     {
         return !events.congested();
     };
-    made.batch_done = [&events]
-    {
-        events.announce();
-    };
+    made.batch_done = std::move(batch_done);
     return made;
 }
 
@@ -45,7 +45,7 @@
       options_(options),
       events_(events),
       metrics_(figures),
-      http_(context, client_options(options, events))
+      http_(context, client_options(options, events, [this] { announce_later(); }))
 {
 }
 
@@ -85,6 +85,22 @@
     events_.send({std::move(what), {}});
 }
 
+/// Sockets that became readable together are read one after the other; the decision thread is woken once for all.
+void endpoint_client::announce_later()
+{
+    if (announce_posted_ || !events_.unannounced())
+    {
+        return;
+    }
+    announce_posted_ = true;
+    asio::post(context_,
+               [this]
+               {
+                   announce_posted_ = false;
+                   events_.announce();
+               });
+}
+
 void endpoint_client::malformed(error_kind kind)
 {
     metrics_.count_malformed(input_source::endpoint, kind);
--- a/libs/runtime/src/endpoint_client.hpp
+++ b/libs/runtime/src/endpoint_client.hpp
@@ -74,12 +74,14 @@
     void end_order(const placement_order& order, const http_result& answer);
     void emit(event what);
     void malformed(error_kind kind);
+    void announce_later();
 
     asio::io_context& context_;
     endpoint_client_options options_;
     channel<inbound_event>& events_;
     metrics& metrics_;
     http_client http_;
+    bool announce_posted_ = false;
     std::unordered_map<attempt_id, std::shared_ptr<http_exchange>> attempts_;
     std::unordered_map<endpoint_id, std::shared_ptr<watch>> watches_;
 };
--- a/libs/runtime/src/io_thread.hpp
+++ b/libs/runtime/src/io_thread.hpp
@@ -10,6 +10,8 @@
 #include <boost/asio/executor_work_guard.hpp> // executor_work_guard
 #include <boost/asio/post.hpp>                // post
 
+#include <pthread.h> // pthread_setname_np
+
 #include <atomic>     // atomic
 #include <exception>  // exception
 #include <functional> // function
@@ -41,9 +43,11 @@
     io_thread(io_thread&&) = delete;
     io_thread& operator=(io_thread&&) = delete;
 
-    void start(event_log& log)
+    /// @param name shown by tools such as top; at most 15 characters
+    void start(event_log& log, const char* name)
     {
         thread_ = std::thread([this, &log] { run(log); });
+        pthread_setname_np(thread_.native_handle(), name);
     }
     /// @brief Ends the thread; handlers that have not run are dropped.
     void stop()
