--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -265,7 +265,7 @@
     std::uint64_t sequence = 0;
     std::int64_t tokens = 0;
     /// Incarnation of the receiver that asked; a later process must not credit the loan a second time.
-    incarnation receiver;
+    incarnation receiver{};
 
     friend bool operator==(const budget_loan&, const budget_loan&) = default;
 };
@@ -287,9 +287,9 @@
     std::vector<endpoint_id> deaths;
     time_point expires;
     /// Times of `deaths`, in the same order; an endpoint that died again after a restart is named twice.
-    std::vector<time_point> times;
+    std::vector<time_point> times{};
     /// Deaths up to this time do not count, because the request has completed elsewhere since.
-    time_point cleared;
+    time_point cleared{};
 
     friend bool operator==(const quarantine_notice&, const quarantine_notice&) = default;
 };
