--- a/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
@@ -455,9 +455,10 @@
 {
     double value = choice_(work.from, work.work, endpoints_.id_of(at)) - endpoints_.busy(at);
     value -= settings_.unhealthy_penalty * (1.0 - endpoints_.health(at));
-    if (endpoints_.has_stragglers(at))
+    if (uses == lane::shared && endpoints_.has_stragglers(at))
     {
-        value += uses == lane::shared ? settings_.straggler_preference : -settings_.straggler_preference;
+        // Short work is not kept away: that cost it more in remote endpoints than stragglers delay it.
+        value += settings_.straggler_preference;
     }
     return value;
 }
