Do not let a renewal bring back a removed endpoint

Cause: a registration for an endpoint that had been removed made it known again, and after the slow start it got work. Change: such registrations are not counted; test added.

--- a/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
@@ -174,6 +174,11 @@
     const work_description& work = registration.work;
     const work_key key{from, work.request};
     drop_waiting(key);
+    if (!endpoints_.find(registration.endpoint))
+    {
+        // Counting the permit would make a removed endpoint known again and send it work.
+        return out;
+    }
     const std::size_t at = class_index(work.work_class);
     active_permit permit;
     permit.id = registration.permit;
--- a/libs/scheduling/include/parsleyshift/scheduling/pool_scheduler.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/pool_scheduler.hpp
@@ -75,7 +75,8 @@
     scheduling_decisions withdraw(const instance_id& from, const permit_withdrawal& withdrawal, time_point now);
     /// @brief A permit is returned with the true length, which is learned when the attempt completed.
     scheduling_decisions give_back(const instance_id& from, const permit_return& returned, time_point now);
-    /// @brief Renews a permit, or learns of one that another scheduler or the instance itself has issued.
+    /// @brief Renews a permit, or learns of one that another scheduler or the instance itself has issued. A permit for
+    /// an endpoint that is not known here is not counted until add_endpoint() and a later renewal.
     scheduling_decisions register_permit(const instance_id& from, const permit_registration& registration,
                                          time_point now);
     /// @brief Handles what is due: start deadlines, expired permits, the end of the slow start.
--- a/libs/scheduling/tests/pool_scheduler_test.cpp
+++ b/libs/scheduling/tests/pool_scheduler_test.cpp
@@ -185,6 +185,19 @@
     CHECK(harness.granted_endpoint(1) == harness.endpoint(1));
 }
 
+// Guards against a late renewal that makes a removed endpoint known again, which then gets work.
+TEST(pool_scheduler, renewal_does_not_bring_back_a_removed_endpoint)
+{
+    scheduler_harness harness{1};
+    harness.request(1, "plan", "c1");
+    harness.take(harness.scheduler().remove_endpoint(harness.endpoint(0), harness.now()));
+    harness.register_all();
+    LONGS_EQUAL(0, harness.scheduler().endpoint_count());
+    harness.pass(harness.settings().slow_start + 1_ms);
+    harness.request(2, "plan", "c1");
+    CHECK_FALSE(harness.was_granted(2));
+}
+
 // Guards against permits of dead instances that occupy an endpoint for ever.
 TEST(pool_scheduler, permit_without_renewal_expires)
 {
