--- a/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
@@ -174,6 +174,11 @@
     const work_description& work = registration.work;
     const work_key key{from, work.request};
     drop_waiting(key);
+    if (!endpoints_.find(registration.endpoint))
+    {
+        // Counting the permit would make a removed endpoint known again and send it work.
+        return out;
+    }
     const std::size_t at = class_index(work.work_class);
     active_permit permit;
     permit.id = registration.permit;
@@ -455,9 +460,10 @@
 {
     double value = choice_(work.from, work.work, endpoints_.id_of(at)) - endpoints_.busy(at);
     value -= settings_.unhealthy_penalty * (1.0 - endpoints_.health(at));
-    if (endpoints_.has_stragglers(at))
+    if (uses == lane::shared && endpoints_.has_stragglers(at))
     {
-        value += uses == lane::shared ? settings_.straggler_preference : -settings_.straggler_preference;
+        // Short work is not kept away: that cost it more in remote endpoints than stragglers delay it.
+        value += settings_.straggler_preference;
     }
     return value;
 }
