--- a/libs/membership/include/parsleyshift/membership/membership.hpp
+++ b/libs/membership/include/parsleyshift/membership/membership.hpp
@@ -33,7 +33,8 @@
 ///     bytes   <= (2 + 4 * f + 0.2) * (H + 8 * U) + L * (ln(n) + 5) * (H + U)
 ///
 /// which is at most 2.9 KB/s at 1,600 instances with 2,260 departures a day and f = 0.01, whatever n is. The answer
-/// to a join is n * U bytes twice per process start (2 * 240 KB at 1,600), in messages of 64 updates.
+/// to a join is n * U bytes twice per process start, and once after every n / 16 changes of members (240 KB at 1,600),
+/// in messages of 64 updates.
 class membership
 {
   public:
@@ -203,6 +204,8 @@
     time_point view_answers_since_;
     time_point last_busy_;
     int view_answers_ = 0;
+    /// Changes of members since a view of another member was last asked for.
+    std::size_t changes_since_view_ = 0;
     int busy_percent_ = 0;
     int health_score_ = 0;
     std::uint64_t next_sequence_ = 1;
--- a/libs/membership/include/parsleyshift/membership/settings.hpp
+++ b/libs/membership/include/parsleyshift/membership/settings.hpp
@@ -22,9 +22,9 @@
     double suspicion_factor = 4.0;
     /// Member updates in one probe, acknowledgement or announcement.
     std::size_t updates_per_message = 8;
-    /// Messages with fewer updates are filled up to this number with members chosen at random, which repairs views
-    /// that piggybacked updates have missed: at 1,600 members each one is repeated to an instance every 5 minutes.
-    std::size_t least_updates_per_message = 4;
+    /// Of these, places for members chosen at random, which repair views that piggybacked updates have missed, also
+    /// while many updates wait: at 1,600 members each one is repeated to an instance about every 6 minutes.
+    std::size_t reminders_per_message = 2;
     /// Each update is sent retransmit_factor * log2(members) times.
     double retransmit_factor = 3.0;
     /// Share of the probes that go to other regions while the own region has other members.
--- a/libs/membership/src/probing.cpp
+++ b/libs/membership/src/probing.cpp
@@ -1,6 +1,6 @@
 #include <parsleyshift/membership/membership.hpp>
 
-#include <algorithm> // find_if, min
+#include <algorithm> // find_if, max, min
 #include <utility>   // move
 
 namespace parsleyshift
@@ -277,6 +277,14 @@
 void membership::note_change(const member_update& update, member_state before, time_point now, membership_output& out)
 {
     out.changes.push_back({update.instance, before, update.state});
+    // Many changes at once crowd each other out of the messages; a whole view fills the gaps.
+    const std::size_t many = std::max(partition_size, table_.live_count() / 16);
+    if (++changes_since_view_ >= many && view_received_)
+    {
+        changes_since_view_ = 0;
+        second_view_received_ = false;
+        next_join_ = std::min(next_join_, now + settings_.second_view_after);
+    }
     if (update.state == member_state::suspect)
     {
         suspicions_.push_back({update.instance, update.started, update.refutation, now});
--- a/libs/membership/src/spreading.cpp
+++ b/libs/membership/src/spreading.cpp
@@ -160,7 +160,8 @@
     }
     const double members = static_cast<double>(table_.all().size());
     const double transmissions = std::ceil(settings_.retransmit_factor * std::log2(members + 1));
-    const std::size_t room = settings_.updates_per_message - std::min(settings_.updates_per_message, updates.size());
+    const std::size_t taken = updates.size() + settings_.reminders_per_message;
+    const std::size_t room = settings_.updates_per_message - std::min(settings_.updates_per_message, taken);
     for (const instance_id& instance : queue_.take(room, static_cast<std::size_t>(transmissions)))
     {
         const member_update* member = table_.find(instance);
@@ -180,7 +181,7 @@
     {
         return;
     }
-    for (std::size_t count = updates.size(); count < settings_.least_updates_per_message; ++count)
+    for (std::size_t count = 0; count < settings_.reminders_per_message; ++count)
     {
         const member_update& reminder = members[1 + random_.index(members.size() - 1)];
         if (reminder.state != member_state::suspect)
--- a/libs/placement/include/parsleyshift/placement/fence.hpp
+++ b/libs/placement/include/parsleyshift/placement/fence.hpp
@@ -17,7 +17,8 @@
 ///
 /// Two holders at one revision and count send either the same order, and then the same number, or different orders,
 /// and then different numbers (except for a hash collision, 1 in 16 million): the endpoint keeps the higher one and
-/// both holders see in its report which order that was.
+/// both holders see in its report which order that was. Only unloads share the number of the plan that they complete;
+/// each of them is checked against the capacity by itself.
 struct fence_parts
 {
     revision configuration;
