--- a/libs/runtime/src/caller_connection.cpp
+++ b/libs/runtime/src/caller_connection.cpp
@@ -439,11 +439,11 @@
 void caller_connection::check_time(time_point now)
 {
     const auto& bounds = server_.options_.bounds;
-    if (write_pending_ && now - last_progress_ > bounds.write_timeout)
-    {
-        disconnect();
-    }
-    else if (state_ == state::closing && !write_pending_ && now - last_progress_ > linger)
+    const duration quiet = now - last_progress_;
+    const bool stuck = write_pending_ && quiet > bounds.write_timeout;
+    const bool lingers = state_ == state::closing && !write_pending_ && quiet > linger;
+    const bool idle = state_ == state::reading && !parser_ && quiet > bounds.request_timeout * idle_factor;
+    if (stuck || lingers || idle)
     {
         disconnect();
     }
@@ -451,10 +451,6 @@
     {
         reject(make_error(error_kind::malformed_request, "HTTP: the request did not arrive in time"), 408);
     }
-    else if (state_ == state::reading && !parser_ && now - last_progress_ > bounds.request_timeout * idle_factor)
-    {
-        disconnect();
-    }
 }
 
 void caller_connection::disconnect()
--- a/libs/runtime/tests/caller_server_test.cpp
+++ b/libs/runtime/tests/caller_server_test.cpp
@@ -221,7 +221,7 @@
         });
     auto settings = test_settings();
     // Far more than the kernel buffers between the two sockets, less than a sixteenth of the backlog that disconnects.
-    settings.bounds.max_backlog_bytes = 1024 * 1024;
+    settings.bounds.max_backlog_bytes = std::size_t{1024} * 1024;
     running_daemon instance(core, settings);
     client caller(instance.port(), 4096);
     caller.send(http_request("POST", "/v1/generations", generation_body));
--- a/libs/runtime/tests/endpoint_client_test.cpp
+++ b/libs/runtime/tests/endpoint_client_test.cpp
@@ -142,9 +142,8 @@
         {chunked + "0\r\n\r\n", false, attempt_failure::link_broken},
         {chunked + "12\r\n{\"error\":\"memory\"}\r\n0\r\n\r\n", false, attempt_failure::endpoint_error},
     };
-    for (std::size_t i = 0; i < table.size(); ++i)
+    for (const failing_answer& row : table)
     {
-        const failing_answer& row = table[i];
         scripted_server engine(
             [&row](scripted_server::connection& connection)
             {
