--- a/libs/routing/include/parsleyshift/routing/endpoint_chooser.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_chooser.hpp
@@ -85,7 +85,7 @@
 };
 
 /// @brief The candidate chosen, with its cost.
-struct endpoint_choice
+struct chosen_endpoint
 {
     const endpoint_entry* entry = nullptr;
     double cost_ms = 0;
@@ -122,7 +122,7 @@
 
     /// @brief Chooses an endpoint. O(candidates * (scores + excluded + models per endpoint)).
     /// @return nothing when no candidate is admissible
-    [[nodiscard]] std::optional<endpoint_choice> choose(std::span<const endpoint_candidate> candidates,
+    [[nodiscard]] std::optional<chosen_endpoint> choose(std::span<const endpoint_candidate> candidates,
                                                         const routing_query& query, random_source& random) const;
 
     /// @brief Cost of one candidate in milliseconds, without the random part. @param affinity_counts see chooser_policy
@@ -146,14 +146,14 @@
 }
 
 template <endpoint_score... Score>
-std::optional<endpoint_choice> basic_endpoint_chooser<Score...>::choose(std::span<const endpoint_candidate> candidates,
+std::optional<chosen_endpoint> basic_endpoint_chooser<Score...>::choose(std::span<const endpoint_candidate> candidates,
                                                                         const routing_query& query,
                                                                         random_source& random) const
 {
     const double bound = detail::affinity_bound(candidates, query, policy_.affinity_load);
     const double even_share = 1.0 / static_cast<double>(std::max<std::size_t>(1, candidates.size()));
-    std::optional<endpoint_choice> best;
-    std::optional<endpoint_choice> fallback;
+    std::optional<chosen_endpoint> best;
+    std::optional<chosen_endpoint> fallback;
     double lowest = std::numeric_limits<double>::infinity();
     double highest_weight = -1.0;
     for (const endpoint_candidate& candidate : candidates)
@@ -164,7 +164,7 @@
         }
         const bool affinity_counts = detail::load_share(candidate.load) <= bound;
         const double exact = cost(candidate, query, affinity_counts);
-        const endpoint_choice choice{candidate.entry, exact, affinity_counts ? candidate.saved_tokens : 0.0};
+        const chosen_endpoint choice{candidate.entry, exact, affinity_counts ? candidate.saved_tokens : 0.0};
         if (candidate.weight > highest_weight)
         {
             highest_weight = candidate.weight;
