--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -116,6 +116,8 @@
     revision after{};
     /// Revision of the digest that showed the difference; the answer repeats it.
     revision highest{};
+
+    friend bool operator==(const configuration_pull&, const configuration_pull&) = default;
 };
 
 /// A record with what the sender knows about it.
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -62,6 +62,7 @@
 {
     1: list<i32> buckets
     2: i64 after
+    3: i64 highest
 }
 
 struct shared_record
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -247,6 +247,7 @@
 {
     copy(wire.buckets, value.buckets);
     copy(wire.after, value.after);
+    copy(wire.highest, value.highest);
 }
 
 void fields(auto copy, auto& wire, like<shared_record> auto& value)
--- a/libs/wire/tests/peer_codec_test.cpp
+++ b/libs/wire/tests/peer_codec_test.cpp
@@ -129,6 +129,7 @@
     {
         m.buckets = several([this] { return any<std::uint32_t>(); });
         m.after = number<revision>();
+        m.highest = number<revision>();
     }
     void fill(configuration_records& m) const
     {
--- a/scenarios/fleet/fake_fleet.cpp
+++ b/scenarios/fleet/fake_fleet.cpp
@@ -204,7 +204,13 @@
         {
             later(delay(region, target.settings.region),
                   [this, to, own = target.incarnation, what = std::move(what)] { feed(to, own, what); });
+            return;
         }
+        // The instance's I/O thread reports a link that has gone silent.
+        later(silence_timeout,
+              [this, to, own = target.incarnation, attempt = attempt_of(what)] {
+                  feed(to, own, attempt_failed{attempt, attempt_failure::link_broken, "silent"});
+              });
     };
     const auto schedule = [this](duration wait, std::function<void()> what)
     {
