--- a/libs/decision_core/src/order_manager.cpp
+++ b/libs/decision_core/src/order_manager.cpp
@@ -52,7 +52,6 @@
         return;
     }
     const minted_order minted = home_.mint(state_.now);
-    last_send_deadline_ = minted.send_deadline;
     order_key_token token;
     token.home = state_.self().instance;
     token.started = state_.self().started;
--- a/libs/decision_core/src/order_manager.hpp
+++ b/libs/decision_core/src/order_manager.hpp
@@ -38,10 +38,10 @@
     }
     /// @brief True while an order is in progress or a key that was minted here may still be placed.
     [[nodiscard]] bool busy() const;
-    /// @brief Time until which keys minted here may be placed.
-    [[nodiscard]] time_point placeable_until() const noexcept
+    /// @brief Time until which a key that was minted here and not yet placed may be placed.
+    [[nodiscard]] time_point placeable_until() const
     {
-        return last_send_deadline_;
+        return home_.placeable_until();
     }
     [[nodiscard]] std::size_t held() const noexcept
     {
@@ -103,7 +103,6 @@
     std::unordered_map<request_id, run> runs_;
     std::unordered_map<request_id, forward> forwards_;
     std::uint64_t direct_runs_ = 0;
-    time_point last_send_deadline_;
 };
 
 } // namespace parsleyshift::detail
--- a/libs/orders/include/parsleyshift/orders/order_home.hpp
+++ b/libs/orders/include/parsleyshift/orders/order_home.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>       // size_t
 #include <cstdint>       // uint64_t
+#include <map>           // map
 #include <optional>      // optional
 #include <string>        // string
 #include <unordered_map> // unordered_map
@@ -75,7 +76,8 @@
   public:
     explicit order_home(order_settings settings) : settings_(settings) {}
 
-    /// @brief Times and serial for a new key. Needs no memory: the signature proves that the key was minted here.
+    /// @brief Times and serial for a new key. The signature proves that the key was minted here; what is remembered
+    /// until the key is placed only tells how long a planned stop should wait. O(log n).
     minted_order mint(time_point now);
 
     /// @brief Decides what to do with a request under a verified key of this incarnation. O(log n).
@@ -102,6 +104,12 @@
     /// @brief Forgets keys that have expired. O(log n) each.
     void expire(time_point now);
 
+    /// @brief Time until which a key that was minted and not yet placed may still be placed; the epoch when there is
+    /// none. O(1).
+    [[nodiscard]] time_point placeable_until() const
+    {
+        return unplaced_.empty() ? time_point{} : unplaced_.rbegin()->second;
+    }
     [[nodiscard]] std::size_t size() const noexcept
     {
         return entries_.size();
@@ -128,6 +136,8 @@
     order_serial last_serial_;
     std::unordered_map<order_serial, entry> entries_;
     timer_queue<order_serial> expiries_;
+    /// Send deadlines of keys that were minted and not placed; later serials have later deadlines.
+    std::map<order_serial, time_point> unplaced_;
 };
 
 } // namespace parsleyshift
--- a/libs/orders/src/order_home.cpp
+++ b/libs/orders/src/order_home.cpp
@@ -8,11 +8,17 @@
 minted_order order_home::mint(time_point now)
 {
     last_serial_ = last_serial_.next();
+    if (unplaced_.size() >= settings_.capacity)
+    {
+        unplaced_.erase(unplaced_.begin());
+    }
+    unplaced_.emplace(last_serial_, now + settings_.send_window);
     return minted_order{last_serial_, now + settings_.send_window, now + settings_.answer_window};
 }
 
 order_decision order_home::place(const minted_order& key, fingerprint content, time_point now)
 {
+    unplaced_.erase(key.serial);
     if (now >= key.expires)
     {
         return make_error(error_kind::key_expired, "the key's answer window is over");
@@ -94,6 +100,10 @@
 
 void order_home::expire(time_point now)
 {
+    while (!unplaced_.empty() && unplaced_.begin()->second <= now)
+    {
+        unplaced_.erase(unplaced_.begin());
+    }
     order_serial expired;
     while (expiries_.take_due(now, expired))
     {
--- a/libs/orders/tests/order_home_test.cpp
+++ b/libs/orders/tests/order_home_test.cpp
@@ -78,6 +78,18 @@
     CHECK(std::holds_alternative<order_in_progress>(small.place(first, content, now)));
 }
 
+// Guards against a planned stop that ends while a caller still holds a fresh key, or waits for a key already used.
+TEST(order_home, only_unplaced_keys_delay_a_stop)
+{
+    const auto first = home.mint(now);
+    const auto second = home.mint(now + duration{10});
+    CHECK(home.placeable_until() == second.send_deadline);
+    CHECK(must_send(second));
+    CHECK(home.placeable_until() == first.send_deadline);
+    home.expire(first.send_deadline);
+    CHECK(home.placeable_until() == time_point{});
+}
+
 namespace
 {
 
