--- a/libs/decision_core/src/fleet_manager.cpp
+++ b/libs/decision_core/src/fleet_manager.cpp
@@ -165,7 +165,9 @@
             state_.entries.update(*member);
         }
     }
-    if (!output.changes.empty())
+    // An instance without peers sees no change of a member, only that it has joined.
+    const bool joined = std::exchange(joined_, state_.members.joined());
+    if (!output.changes.empty() || joined != joined_)
     {
         members_changed();
     }
--- a/libs/decision_core/src/fleet_manager.hpp
+++ b/libs/decision_core/src/fleet_manager.hpp
@@ -58,6 +58,7 @@
     time_point next_purge_;
     bool topology_changed_ = false;
     bool superseded_ = false;
+    bool joined_ = false;
 };
 
 } // namespace parsleyshift::detail
--- a/scenarios/tests/fleet_test.cpp
+++ b/scenarios/tests/fleet_test.cpp
@@ -133,3 +133,13 @@
     CHECK(fleet.caller(request).end == outcome::completed);
     show(fleet.seen());
 }
+
+// Guards against an instance without peers that waits for ever to learn which schemas they read.
+TEST(fleet, single_instance_puts_records_of_the_newest_schema_in_force)
+{
+    fake_fleet alone{3};
+    alone.write_record("priority", "plan", 2, plan_class);
+    alone.add_instance({"n1", "ikeja", "lagos", 0});
+    alone.run(duration{9'000});
+    CHECK(alone.in_force("n1", "priority", "plan"));
+}
