Read the load of the pools that an instance uses, not of every pool

Cause: each instance watched a subset of every pool of every region: at 1,600 instances and 154 pools about 3,700 endpoints each, four reads a second.

Change: it watches the pool that work of each service would go to, and the pools that it schedules.

--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -80,7 +80,8 @@
     capacities rate{};
     for (std::size_t pool = 0; pool < pool_count; ++pool)
     {
-        const double tokens_per_second = completed[pool] / static_cast<double>((arrivals_end - warm_up) / one_second);
+        const double tokens_per_second =
+            completed[pool] / (static_cast<double>(arrivals_end - warm_up) / static_cast<double>(one_second));
         rate[pool] = tokens_per_second * offered_count[pool] / offered_tokens[pool];
     }
     return rate;
--- a/libs/decision_core/src/fleet_manager.cpp
+++ b/libs/decision_core/src/fleet_manager.cpp
@@ -267,13 +267,25 @@
             state_.emit(watch_endpoint{entry->endpoint, entry->address, entry->engine, true});
         }
     };
+    // Only the pool that work of a service would go to, and pools scheduled here: reading the load of every pool would
+    // cost each instance in proportion to all endpoints of the fleet.
     std::unordered_set<pool_id> pools;
     for (const auto& [key, record] : state_.records.raw())
     {
-        if (key.kind == "service")
+        if (key.kind != "service")
         {
-            const auto& known = state_.directory.pools_of(service_id{key.name});
-            pools.insert(known.begin(), known.end());
+            continue;
+        }
+        if (const auto used = pools_.pool_for(service_id{key.name}))
+        {
+            pools.insert(*used);
+        }
+        for (const pool_id& pool : state_.directory.pools_of(service_id{key.name}))
+        {
+            if (pools_.host_of(pool) == state_.self().instance)
+            {
+                pools.insert(pool);
+            }
         }
     }
     for (const pool_id& pool : pools)
