Run Lua scenarios; recognise endpoint deaths from lists and refused connections

Cause: the promises are to be proved by scripted scenarios.

Change: an endpoint that disappears from the platform's list without leaving, or that refuses a connection right after a broken link, counts as dead; a link that breaks before the first token is resumed at the same engine before another one is used; a refused resume no longer counts as proof that nothing ran; late tokens of a broken link do not cancel its resume; permit renewals continue after a resume. The checker's rule for not_run without a key now leaves out executions from before the request was asked: the trace of crashing_request.lua shows two executions, both of earlier requests.

--- a/cmake/parsleyshift.cmake
+++ b/cmake/parsleyshift.cmake
@@ -7,7 +7,8 @@
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
 pkg_check_modules(THRIFT REQUIRED IMPORTED_TARGET thrift)
-pkg_check_modules(LUA REQUIRED IMPORTED_TARGET lua5.4)
+# The variant that reports errors by C++ exceptions, so that destructors run.
+pkg_check_modules(LUA REQUIRED IMPORTED_TARGET lua5.4-c++)
 find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
 
 add_library(parsleyshift_warnings INTERFACE)
--- a/libs/decision_core/src/fleet_manager.cpp
+++ b/libs/decision_core/src/fleet_manager.cpp
@@ -55,6 +55,10 @@
     const directory_change change = state_.directory.handle_list(list);
     for (const auto& gone : change.removed)
     {
+        if (!gone.leaving)
+        {
+            endpoint_down(gone.endpoint);
+        }
         state_.health.forget(gone.endpoint);
         state_.ledger.forget(gone.endpoint);
         state_.prefixes.forget(gone.endpoint);
--- a/libs/decision_core/src/generation.cpp
+++ b/libs/decision_core/src/generation.cpp
@@ -12,6 +12,8 @@
 
 /// Gaps between tokens above this count as stalls; the target for 95 in 100 gaps is 63 ms.
 constexpr duration stall_threshold{500};
+/// A refused connection is reported within this time; one that times out takes longer.
+constexpr duration longest_refusal{500};
 /// Time between two looks at a stream that may have gone silent.
 constexpr duration silence_check_interval{1'000};
 /// Quantile of the output length that the local choice reserves memory for.
@@ -83,6 +85,8 @@
     tracker_.attempt_ran();
     permit_grant existing;
     existing.endpoint = endpoint_;
+    // The attempt was sent before, so that a failure to reach its engine proves nothing.
+    resumes_ = 1;
     machine_->states.process_event(generation_events::permitted{existing});
 }
 
@@ -199,6 +203,7 @@
         return;
     }
     ++attempts_;
+    resumes_ = 0;
     const endpoint_entry* entry = state_.directory.find(grant.endpoint);
     endpoint_ = grant.endpoint;
     address_ = entry->address;
@@ -216,7 +221,8 @@
     state_.emit(observe{observed::queue_ms, asked_.work_class, asked_.customer, (state_.now - arrived_).count()});
     if (permit_from_scheduler_)
     {
-        add_timer(timer_kind::renew_permit, state_.settings.requests.permit_renewal, step_);
+        add_timer(timer_kind::renew_permit, state_.settings.requests.permit_renewal,
+                  static_cast<std::uint64_t>(attempts_));
     }
     else
     {
@@ -349,6 +355,11 @@
 
 void generation::attempt_lost(attempt_failure failure)
 {
+    if (resume_scheduled_)
+    {
+        // More news of the link that is already given up.
+        return;
+    }
     const bool engine_fault = failure == attempt_failure::link_broken || failure == attempt_failure::connect_failed ||
                               failure == attempt_failure::endpoint_error;
     if (engine_fault)
@@ -359,15 +370,18 @@
     {
         state_.endpoint_leaves(endpoint_);
     }
+    note_death(failure);
+    // A resume that finds no engine is a broken link of the attempt, not a proof that it did not run.
+    if (resumes_ > 0 && failure == attempt_failure::connect_failed)
+    {
+        failure = attempt_failure::link_broken;
+    }
     if (!resumed_)
     {
         tracker_.attempt_failed(failure);
     }
     retry_situation situation;
-    // A resume that finds no engine is a broken link of the attempt, not a proof that it did not run.
-    const bool after_tokens = cursor_.next() > 0;
-    situation.failure =
-        after_tokens && failure == attempt_failure::connect_failed ? attempt_failure::link_broken : failure;
+    situation.failure = failure;
     situation.how = asked_.how;
     situation.delivered = streams() ? delivered_ : 0;
     situation.attempts = std::max(1, attempts_);
@@ -378,9 +392,22 @@
     machine_->states.process_event(generation_events::attempt_lost{failure});
 }
 
+void generation::note_death(attempt_failure failure)
+{
+    // An engine can die and be back before its next load report. A connection that is refused at once, or an engine
+    // that has forgotten the attempt, shows the death; a connection that times out may be a cut link.
+    const bool refused = failure == attempt_failure::connect_failed && state_.now - last_progress_ < longest_refusal;
+    if (resumes_ > 0 && !resumed_ && (refused || failure == attempt_failure::attempt_unknown))
+    {
+        state_.spread(state_.quarantine.endpoint_died(endpoint_, state_.now));
+    }
+}
+
 bool generation::may_try_again(attempt_failure /*failure*/)
 {
-    return decision_.step != retry_step::give_up && !detached_;
+    // What a caller resumed elsewhere has no other attempt: it can only be read again.
+    const bool may_start_another = decision_.step == retry_step::restart && !resumed_;
+    return may_start_another && !detached_;
 }
 
 bool generation::may_resume(attempt_failure /*failure*/)
@@ -408,11 +435,13 @@
 void generation::schedule_resume()
 {
     ++resumes_;
+    resume_scheduled_ = true;
     add_timer(timer_kind::resume_due, decision_.delay, ++step_);
 }
 
 void generation::send_resume()
 {
+    resume_scheduled_ = false;
     last_progress_ = state_.now;
     state_.emit(resume_generation{attempt_, endpoint_, address_, cursor_.next()});
 }
@@ -457,7 +486,7 @@
         check_silence();
         break;
     case timer_kind::renew_permit:
-        if (permit_ && current)
+        if (permit_ && due.step == static_cast<std::uint64_t>(attempts_))
         {
             renew_permit();
         }
@@ -480,7 +509,7 @@
 {
     state_.send(pools_.host_of(pool_),
                 permit_registration{pool_, permit_->permit, endpoint_, work_, cursor_.next(), permit_->priority});
-    add_timer(timer_kind::renew_permit, state_.settings.requests.permit_renewal, step_);
+    add_timer(timer_kind::renew_permit, state_.settings.requests.permit_renewal, static_cast<std::uint64_t>(attempts_));
 }
 
 void generation::return_permit(bool completed)
--- a/libs/decision_core/src/generation.hpp
+++ b/libs/decision_core/src/generation.hpp
@@ -94,6 +94,7 @@
     void announce_start();
     void renew_permit();
     void check_silence();
+    void note_death(attempt_failure failure);
     void return_permit(bool completed);
     void end_attempt(run_end how);
     void cancel_at_engine();
@@ -129,6 +130,7 @@
     std::vector<endpoint_id> tried_;
     int attempts_ = 0;
     int resumes_ = 0;
+    bool resume_scheduled_ = false;
     std::int64_t memory_ = 0;
 
     /// Tokens of an answer delivered whole, held until it is complete.
--- a/libs/streams/include/parsleyshift/streams/generation_machine.hpp
+++ b/libs/streams/include/parsleyshift/streams/generation_machine.hpp
@@ -168,6 +168,7 @@
         row<starting,  generation_events::ended,          finished,  complete,        is_complete>,
         row<starting,  generation_events::attempt_lost,   finished,  fail>,
         row<starting,  generation_events::attempt_lost,   admission, ask_again,       may_try_again>,
+        row<starting,  generation_events::attempt_lost,   resuming,  schedule_resume, may_resume>,
         row<starting,  generation_events::timed_out,      finished,  reject_late>,
         row<starting,  generation_events::abandoned,      finished,  abandon>,
 
@@ -177,6 +178,8 @@
         row<streaming, generation_events::attempt_lost,   finished,  fail>,
         row<streaming, generation_events::attempt_lost,   admission, ask_again,       may_restart>,
         row<streaming, generation_events::attempt_lost,   resuming,  schedule_resume, may_resume>,
+        // Tokens that were still under way when the link broke have arrived; the link is read again all the same.
+        row<streaming, generation_events::resume_due,     resuming,  send_resume>,
         row<streaming, generation_events::timed_out,      finished,  reject_late>,
         row<streaming, generation_events::abandoned,      finished,  abandon>,
 
--- a/libs/streams/tests/streams_test.cpp
+++ b/libs/streams/tests/streams_test.cpp
@@ -202,6 +202,29 @@
     CHECK_EQUAL(steps_at_end, flow.steps.size());
 }
 
+// Guards against a stream that is never read again, because late tokens of the broken link arrive before the resume.
+TEST(streams, late_tokens_do_not_cancel_the_resume)
+{
+    flow.allow_resume = true;
+    run_to_streaming();
+    machine.process_event(generation_events::attempt_lost{attempt_failure::link_broken});
+    machine.process_event(generation_events::tokens{batch});
+    machine.process_event(generation_events::resume_due{});
+    STRCMP_EQUAL("start deliver schedule_resume deliver send_resume", joined(flow.steps).c_str());
+}
+
+// Guards against a second run of a generation whose engine is alive behind a broken link.
+TEST(streams, broken_link_before_the_first_token_resumes_the_same_attempt)
+{
+    flow.allow_resume = true;
+    flow.allow_retry = true;
+    machine.process_event(generation_events::permitted{grant});
+    machine.process_event(generation_events::attempt_lost{attempt_failure::link_broken});
+    machine.process_event(generation_events::resume_due{});
+    machine.process_event(generation_events::tokens{batch});
+    STRCMP_EQUAL("start schedule_resume send_resume deliver", joined(flow.steps).c_str());
+}
+
 TEST(streams, failure_before_the_first_token_asks_for_another_endpoint)
 {
     flow.allow_retry = true;
--- a/scenarios/fleet/fake_endpoint.cpp
+++ b/scenarios/fleet/fake_endpoint.cpp
@@ -51,12 +51,12 @@
         return;
     }
     seen_.executions.push_back({settings_.name, "generate", asked.prompt, {}, now});
+    running_[asked.attempt] = {asked.prompt, from, length_of(asked.prompt, settings_.length), 0, 0};
     if (crashes(asked.prompt))
     {
         crash(asked.prompt);
         return;
     }
-    running_[asked.attempt] = {asked.prompt, from, length_of(asked.prompt, settings_.length), 0, 0};
     answer_(from, attempt_started{asked.attempt});
     schedule_(settings_.token_interval, [this, attempt = asked.attempt] { produce(attempt); });
 }
--- a/scenarios/fleet/fake_fleet.cpp
+++ b/scenarios/fleet/fake_fleet.cpp
@@ -206,11 +206,17 @@
                   [this, to, own = target.incarnation, what = std::move(what)] { feed(to, own, what); });
             return;
         }
-        // The instance's I/O thread reports a link that has gone silent.
-        later(silence_timeout,
-              [this, to, own = target.incarnation, attempt = attempt_of(what)] {
-                  feed(to, own, attempt_failed{attempt, attempt_failure::link_broken, "silent"});
-              });
+        // The instance's I/O thread reports once that the link has gone silent.
+        const attempt_id attempt = attempt_of(what);
+        if (silent_.emplace(to, attempt).second)
+        {
+            later(silence_timeout,
+                  [this, to, own = target.incarnation, attempt]
+                  {
+                      silent_.erase({to, attempt});
+                      feed(to, own, attempt_failed{attempt, attempt_failure::link_broken, "silent"});
+                  });
+        }
     };
     const auto schedule = [this](duration wait, std::function<void()> what)
     {
--- a/scenarios/fleet/fake_fleet.hpp
+++ b/scenarios/fleet/fake_fleet.hpp
@@ -164,6 +164,8 @@
     std::map<std::string, instance> instances_;
     std::map<std::string, std::unique_ptr<fake_endpoint>> endpoints_;
     std::set<std::pair<std::string, std::string>> cuts_;
+    /// Links of attempts whose silence is about to be reported.
+    std::set<std::pair<std::string, attempt_id>> silent_;
     std::map<std::string, raw_record> records_;
     revision highest_;
     std::vector<raw_record> stale_records_;
--- a/scenarios/fleet/history.cpp
+++ b/scenarios/fleet/history.cpp
@@ -50,12 +50,14 @@
     return counts;
 }
 
-/// Executions of a request that carried no key are found by its payload, which scenarios keep unique.
+/// Executions of a request that carried no key are found by its payload; those from before it was asked belong to an
+/// earlier request with the same payload.
 bool ran(const history& seen, const caller_record& request)
 {
     for (const auto& run : seen.executions)
     {
-        const bool same = request.key.empty() ? run.payload == request.what : run.key == request.key;
+        const bool same =
+            request.key.empty() ? run.payload == request.what && run.at >= request.asked : run.key == request.key;
         if (same)
         {
             return true;
