--- a/scenarios/fleet/fake_fleet.hpp
+++ b/scenarios/fleet/fake_fleet.hpp
@@ -18,6 +18,15 @@
 namespace parsleyshift::scenarios
 {
 
+/// Time after which a send over a cut link is reported as broken.
+inline constexpr duration silence_timeout{2'000};
+
+/// @brief Address of an instance for its peers.
+inline std::string peer_address_of(const std::string& name)
+{
+    return "peer:" + name;
+}
+
 /// @brief Settings of one instance of the system.
 struct instance_settings
 {
--- a/scenarios/soak/random_run.cpp
+++ b/scenarios/soak/random_run.cpp
@@ -15,7 +15,7 @@
 
 /// Time after the last fault within which everything must have ended and converged.
 constexpr duration settling_time{120'000};
-/// Promise: an accepted configuration is in force everywhere within this time.
+/// Bound of guarantee P7.
 constexpr duration configuration_bound{9'000};
 constexpr int endpoints_per_service = 4;
 
