Learn each output length once

Cause: an instance that schedules the pool recorded a completed length itself and learned it again from the returned permit, with double weight.

Change: it records the length itself only when another instance schedules.

Result: 28 tests and the demo pass.

--- a/libs/decision_core/src/generation_end.cpp
+++ b/libs/decision_core/src/generation_end.cpp
@@ -12,9 +12,13 @@
 {
     const std::int64_t count = cursor_.next();
     end_attempt(run_end::completed);
-    return_permit(true);
     state_.budget_of(asked_.service).succeeded();
-    state_.lengths.record(asked_.work_class, asked_.customer, count, state_.now);
+    if (!permit_ || pools_.host_of(pool_) != state_.self().instance)
+    {
+        // A scheduler on this instance learns the length from the returned permit.
+        state_.lengths.record(asked_.work_class, asked_.customer, count, state_.now);
+    }
+    return_permit(true);
     state_.emit(observe{observed::length_tokens, asked_.work_class, asked_.customer, count});
     state_.emit(observe{observed::answer_ms, asked_.work_class, asked_.customer, (state_.now - arrived_).count()});
     if (!streams())
