Use routing's peer_health in the core, and remove what the core wrote twice

Cause: reading the whole change showed a second, weaker copy of peer_health in the pool manager: it took the lowest weight that any peer reported, so one instance with a bad link could take an endpoint out of service for all, and it did not bound the weight. The marking of a dead endpoint stood in two places, the watches were worked out twice for each changed list, and a list of tried endpoints was written and never read.

Change: the pool manager asks peer_health (the mean of the reports and one of full weight), which changes the weight that a scheduler uses; core_state marks dead endpoints for both callers, so a death seen by a refused connection is logged too; the rest keeps its behaviour.

--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -125,6 +125,17 @@
     }
 }
 
+void core_state::endpoint_died(const endpoint_id& endpoint)
+{
+    const auto notices = quarantine.endpoint_died(endpoint, now);
+    for (const auto& notice : notices)
+    {
+        log(log_event::request_quarantined,
+            "fingerprint " + std::to_string(notice.request.value()) + " ran on " + endpoint.value());
+    }
+    spread(notices);
+}
+
 void core_state::endpoint_leaves(const endpoint_id& endpoint)
 {
     if (directory.handle_leaving(endpoint))
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -17,6 +17,7 @@
 #include <parsleyshift/routing/endpoint_health.hpp>           // endpoint_health
 #include <parsleyshift/routing/endpoint_scores.hpp>           // endpoint_chooser
 #include <parsleyshift/routing/in_flight_ledger.hpp>          // in_flight_ledger
+#include <parsleyshift/routing/peer_health.hpp>               // peer_health
 #include <parsleyshift/routing/prefix_index.hpp>              // prefix_index
 #include <parsleyshift/routing/retry_policy.hpp>              // budgeted_retry
 #include <parsleyshift/scheduling/length_estimator.hpp>       // length_estimator
@@ -78,6 +79,7 @@
     configuration_store<parsing_acceptor> configuration;
     endpoint_directory directory;
     endpoint_health health;
+    peer_health reported_health;
     in_flight_ledger ledger;
     prefix_index prefixes;
     endpoint_candidates candidates;
@@ -117,6 +119,8 @@
     /// @brief Records the end of an attempt in ledger and quarantine and spreads what the quarantine learned.
     void attempt_over(attempt_id attempt, const endpoint_id& endpoint, std::int64_t memory, run_end how);
     void spread(const std::vector<quarantine_notice>& notices);
+    /// @brief An endpoint's process died: marks what ran there and spreads the marks.
+    void endpoint_died(const endpoint_id& endpoint);
     /// @brief An endpoint said that it is leaving.
     void endpoint_leaves(const endpoint_id& endpoint);
 
--- a/libs/decision_core/src/fleet_manager.cpp
+++ b/libs/decision_core/src/fleet_manager.cpp
@@ -57,7 +57,7 @@
     {
         if (!gone.leaving)
         {
-            endpoint_down(gone.endpoint);
+            state_.endpoint_died(gone.endpoint);
         }
         state_.health.forget(gone.endpoint);
         state_.ledger.forget(gone.endpoint);
@@ -86,7 +86,6 @@
     }
     planner_.set_endpoints(engines_);
     topology_changed_ = true;
-    update_watches();
 }
 
 void fleet_manager::handle(const load_reported& reported)
@@ -111,21 +110,10 @@
     state_.health.failed(missing.endpoint, state_.now);
     if (entry->load_failures == failures_of_a_dead_endpoint && !entry->leaving)
     {
-        endpoint_down(missing.endpoint);
+        state_.endpoint_died(missing.endpoint);
     }
 }
 
-void fleet_manager::endpoint_down(const endpoint_id& endpoint)
-{
-    const auto notices = state_.quarantine.endpoint_died(endpoint, state_.now);
-    for (const auto& notice : notices)
-    {
-        state_.log(log_event::request_quarantined,
-                   "fingerprint " + std::to_string(notice.request.value()) + " ran on " + endpoint.value());
-    }
-    state_.spread(notices);
-}
-
 void fleet_manager::handle(const cache_reported& reported)
 {
     state_.prefixes.apply(reported.endpoint, reported.events);
@@ -374,6 +362,7 @@
     if (next_purge_ <= state_.now)
     {
         state_.quarantine.purge(state_.now);
+        state_.reported_health.purge(state_.now);
         next_purge_ = state_.now + purge_interval;
     }
 }
--- a/libs/decision_core/src/fleet_manager.hpp
+++ b/libs/decision_core/src/fleet_manager.hpp
@@ -41,7 +41,6 @@
     void apply_records(const std::vector<raw_record>& changes);
     void members_changed();
     void endpoint_leaving(const endpoint_id& endpoint);
-    void endpoint_down(const endpoint_id& endpoint);
     void set_limits();
     void set_limit(const customer_record& customer);
     void update_placement();
--- a/libs/decision_core/src/generation.cpp
+++ b/libs/decision_core/src/generation.cpp
@@ -378,7 +378,7 @@
     const bool refused = failure == attempt_failure::connect_failed && state_.now - last_progress_ < longest_refusal;
     if (resumes_ > 0 && !resumed_ && (refused || failure == attempt_failure::attempt_unknown))
     {
-        state_.spread(state_.quarantine.endpoint_died(endpoint_, state_.now));
+        state_.endpoint_died(endpoint_);
     }
 }
 
@@ -406,7 +406,6 @@
         cancel_at_engine();
         end_attempt(end_of(failure));
         return_permit(false);
-        tried_.push_back(endpoint_);
     }
     add_timer(timer_kind::try_again, decision_.delay, ++step_);
 }
--- a/libs/decision_core/src/generation.hpp
+++ b/libs/decision_core/src/generation.hpp
@@ -127,7 +127,6 @@
     attempt_id attempt_;
     endpoint_id endpoint_;
     std::string address_;
-    std::vector<endpoint_id> tried_;
     int attempts_ = 0;
     int resumes_ = 0;
     bool resume_scheduled_ = false;
--- a/libs/decision_core/src/order_manager.cpp
+++ b/libs/decision_core/src/order_manager.cpp
@@ -89,7 +89,7 @@
     }
     if (is_home(key.value()))
     {
-        look_up(what, key.value(), local(asked.request));
+        look_up(key.value(), local(asked.request));
         return;
     }
     forward_home(what, key.value());
@@ -181,7 +181,7 @@
     start(runs_.insert_or_assign(id, std::move(added)).first->second);
 }
 
-void order_manager::look_up(const order_forward& /*what*/, const order_key_token& key, const waiter& who)
+void order_manager::look_up(const order_key_token& key, const waiter& who)
 {
     const minted_order minted = minted_from(key);
     const order_decision known = home_.look_up(minted.serial);
@@ -434,7 +434,7 @@
         place_minted(forwarded, key.value(), who);
         return;
     }
-    look_up(forwarded, key.value(), who);
+    look_up(key.value(), who);
 }
 
 void order_manager::handle(const order_reply& reply)
--- a/libs/decision_core/src/order_manager.hpp
+++ b/libs/decision_core/src/order_manager.hpp
@@ -83,7 +83,7 @@
 
     void place(const order_forward& what, const waiter& who);
     void place_minted(const order_forward& what, const order_key_token& key, const waiter& who);
-    void look_up(const order_forward& what, const order_key_token& key, const waiter& who);
+    void look_up(const order_key_token& key, const waiter& who);
     void forward_home(const order_forward& what, const order_key_token& key);
     void send_forward(const forward& waiting);
     void run_directly(const order_forward& what, time_point send_deadline, const waiter& who);
--- a/libs/decision_core/src/pool_manager.cpp
+++ b/libs/decision_core/src/pool_manager.cpp
@@ -210,28 +210,24 @@
     carry_out(host(registration.pool).register_permit(from, registration, state_.now));
 }
 
-void pool_manager::handle(const instance_id& /*from*/, const endpoint_health_notice& notice)
+void pool_manager::handle(const instance_id& from, const endpoint_health_notice& notice)
 {
-    auto& known = notices_[notice.endpoint];
-    const bool stale = known.expires <= state_.now;
-    known.weight = stale ? notice.weight : std::min(known.weight, notice.weight);
-    known.expires = std::min(notice.expires, state_.now + state_.settings.requests.health_notice_lifetime);
+    endpoint_health_notice bounded = notice;
+    bounded.expires = std::min(notice.expires, state_.now + state_.settings.requests.health_notice_lifetime);
+    state_.reported_health.hear(from, bounded, state_.now);
     health_changed(notice.endpoint);
 }
 
 double pool_manager::weight_of(const endpoint_id& endpoint) const
 {
-    const double own = state_.health.weight(endpoint, state_.now);
-    const auto found = notices_.find(endpoint);
-    const bool noticed = found != notices_.end() && found->second.expires > state_.now;
-    return noticed ? std::min(own, found->second.weight) : own;
+    return std::min(state_.health.weight(endpoint, state_.now), state_.reported_health.weight(endpoint, state_.now));
 }
 
 void pool_manager::endpoints_changed(const directory_change& change)
 {
     for (const auto& entry : change.removed)
     {
-        notices_.erase(entry.endpoint);
+        state_.reported_health.forget(entry.endpoint);
         if (const auto found = hosted_.find(entry.pool); found != hosted_.end())
         {
             carry_out(found->second->remove_endpoint(entry.endpoint, state_.now));
--- a/libs/decision_core/src/pool_manager.hpp
+++ b/libs/decision_core/src/pool_manager.hpp
@@ -62,12 +62,6 @@
   private:
     using scheduler = basic_pool_scheduler<fair_queue, pool_preference>;
 
-    struct reported_health
-    {
-        double weight = 1.0;
-        time_point expires;
-    };
-
     scheduler& host(const pool_id& pool);
     void configure(scheduler& target) const;
     void carry_out(const scheduling_decisions& decisions);
@@ -79,8 +73,6 @@
     std::unordered_map<pool_id, std::unique_ptr<scheduler>> hosted_;
     std::unordered_map<pool_id, std::unique_ptr<local_share_chooser>> local_;
     std::unordered_map<pool_id, instance_id> host_of_;
-    /// Lowest weight that other instances have reported.
-    std::unordered_map<endpoint_id, reported_health> notices_;
 };
 
 } // namespace parsleyshift::detail
