--- a/libs/core/include/parsleyshift/core/clock.hpp
+++ b/libs/core/include/parsleyshift/core/clock.hpp
@@ -18,7 +18,7 @@
     using time_point = std::chrono::time_point<millisecond_clock>;
     static constexpr bool is_steady = true;
 
-    /// @brief Reads the time: the wall clock at process start plus the steady time since then.
+    /// @brief Reads the time: the wall clock at process start plus the time since then, suspended time included.
     static time_point now() noexcept;
 };
 
--- a/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
@@ -56,6 +56,34 @@
     duration health_notice_lifetime{5'000};
 };
 
+/// @brief Intervals and bounds of forwarded requests.
+struct forwarding_settings
+{
+    /// Age of the configuration up to which a key counts as valid. Below the bound of 5 s on removed keys by the time
+    /// that a request takes from the check to the endpoint.
+    duration key_lease{4'300};
+    /// Time after the service's return in which endpoints that vanished from the list while it was down are kept; they
+    /// are listed again within 2 s when they live.
+    duration lapse_grace{2'200};
+    /// Pause of a stream after which its caller has given up, as a multiple of the route's objective, and at least.
+    int abandon_objectives = 4;
+    duration abandon_after{2'000};
+    /// Share of the abandon time within which a queued stream must have started.
+    double start_share = 0.75;
+    /// Time between two looks at streams that may have gone silent.
+    duration silence_check{500};
+    /// A planned stop ends once no request has come for `stop_quiet`, but not before `stop_least`: callers keep an
+    /// entry answer of `entry_keep` up to three times as long.
+    duration stop_quiet{1'500};
+    duration stop_least{4'000};
+    /// Time for which callers keep an entry answer.
+    duration entry_keep{2'000};
+    /// Most addresses in an entry answer.
+    std::size_t most_entries = 64;
+    /// Interval of the check whether this instance can serve.
+    duration readiness_check{250};
+};
+
 /// @brief Everything that a decision core needs to know at its start.
 struct core_settings
 {
@@ -77,6 +105,7 @@
     backoff_policy backoff;
     hedge_bounds hedging;
     retry_budget_policy retries;
+    forwarding_settings forwarding;
     /// Endpoints of each pool that this instance sends to without a scheduler.
     std::size_t endpoint_subset = 24;
 };
--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -144,6 +144,30 @@
     }
 }
 
+directory_change core_state::take_list(const instances_listed& list)
+{
+    directory_change change = directory.handle_list(list);
+    for (const auto& gone : change.removed)
+    {
+        if (!gone.leaving)
+        {
+            endpoint_died(gone.endpoint);
+        }
+        health.forget(gone.endpoint);
+        ledger.forget(gone.endpoint);
+        prefixes.forget(gone.endpoint);
+    }
+    for (const auto& added : change.added)
+    {
+        health.add(added, directory.find(added)->pool);
+    }
+    for (const auto& leaving : change.leaving)
+    {
+        log(log_event::endpoint_leaving, leaving.value());
+    }
+    return change;
+}
+
 run_end end_of(attempt_failure failure) noexcept
 {
     const bool may_have_died = failure == attempt_failure::link_broken || failure == attempt_failure::attempt_unknown;
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -37,6 +37,7 @@
     generation,
     call,
     order,
+    forward,
 };
 
 /// @brief What a deadline of the core is about.
@@ -48,6 +49,8 @@
     permit_wait,
     /// The backoff before another attempt is over.
     try_again,
+    /// The same for a forwarded request, whose permit uses try_again.
+    next_attempt,
     resume_due,
     renew_permit,
     check_silence,
@@ -123,6 +126,8 @@
     void endpoint_died(const endpoint_id& endpoint);
     /// @brief An endpoint said that it is leaving.
     void endpoint_leaves(const endpoint_id& endpoint);
+    /// @brief Takes a reading of the list of endpoints into directory, health, ledger and prefix index.
+    directory_change take_list(const instances_listed& list);
 
     struct attempt_entry
     {
--- a/libs/decision_core/src/decision_core.cpp
+++ b/libs/decision_core/src/decision_core.cpp
@@ -198,8 +198,17 @@
         case detail::attempt_owner::order:
             orders_.failed(failed.attempt, request, failed.failure);
             break;
+        case detail::attempt_owner::forward:
+            break;
         }
     }
+    // Events of forwarding_core.
+    void on(const forward_request& /*asked*/) {}
+    void on(const forward_answered& /*answered*/) {}
+    void on(const forward_progress& /*progress*/) {}
+    void on(const forward_completed& /*completed*/) {}
+    void on(const forwarding_configured& /*configured*/) {}
+    void on(const configuration_confirmed& /*confirmed*/) {}
     void on(const call_answered& answered)
     {
         const auto found = state_.attempts.find(answered.attempt);
--- a/libs/decision_core/src/fleet_manager.cpp
+++ b/libs/decision_core/src/fleet_manager.cpp
@@ -52,25 +52,7 @@
     membership_output members;
     state_.members.handle_list(list.instances, state_.now, members);
     apply(members);
-    const directory_change change = state_.directory.handle_list(list);
-    for (const auto& gone : change.removed)
-    {
-        if (!gone.leaving)
-        {
-            state_.endpoint_died(gone.endpoint);
-        }
-        state_.health.forget(gone.endpoint);
-        state_.ledger.forget(gone.endpoint);
-        state_.prefixes.forget(gone.endpoint);
-    }
-    for (const auto& added : change.added)
-    {
-        state_.health.add(added, state_.directory.find(added)->pool);
-    }
-    for (const auto& leaving : change.leaving)
-    {
-        state_.log(log_event::endpoint_leaving, leaving.value());
-    }
+    const directory_change change = state_.take_list(list);
     if (change.added.empty() && change.removed.empty() && change.leaving.empty())
     {
         return;
--- /dev/null
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -0,0 +1,451 @@
+#include <parsleyshift/decision_core/forwarding_core.hpp> // forwarding_core
+
+#include "core_state.hpp"      // core_state
+#include "forward_manager.hpp" // forward_manager
+#include "lapse_filter.hpp"    // lapse_filter
+#include "pool_manager.hpp"    // pool_manager
+
+#include <algorithm> // max, min
+#include <utility>   // exchange, move
+#include <variant>   // visit
+
+namespace parsleyshift
+{
+namespace
+{
+
+constexpr duration purge_interval{5'000};
+/// An instance that reports this share of its capacity in use is left out of entry answers.
+constexpr int unavailable_percent = 100;
+
+} // namespace
+
+core_settings forwarding_settings_of(core_settings settings)
+{
+    settings.scheduling.permit_lifetime = duration{6'000};
+    settings.scheduling.slow_start = duration{300};
+    settings.requests.permit_renewal = duration{2'000};
+    // Shares of 0.1 of the successes and 2 saved retries at each instance stay below a fleet-wide bound of 0.2 and 5
+    // for each instance.
+    settings.retries.share = 0.1;
+    settings.retries.floor = 2;
+    settings.membership.join_retry = duration{300};
+    settings.membership.busy_interval = duration{500};
+    settings.entry.overloaded_percent = unavailable_percent - 1;
+    return settings;
+}
+
+/// @brief The parts of a core, and the way of each event to the part that handles it.
+class forwarding_core::implementation
+{
+  public:
+    implementation(core_settings settings, token_codec tokens, fleet_hints hints)
+        : state_(std::move(settings), std::move(tokens)),
+          pools_(state_),
+          forwards_(state_, pools_),
+          lapses_(state_.settings.forwarding.lapse_grace)
+    {
+        set_hints(std::move(hints));
+    }
+
+    void set_hints(fleet_hints hints)
+    {
+        hints_ = std::move(hints);
+        for (const auto& zone : hints_.zones)
+        {
+            state_.entries.learn_zone(zone.name, zone.region);
+        }
+        contact_seeds_ = true;
+    }
+    void handle(const event& happened, time_point now, std::vector<action>& out)
+    {
+        state_.now = std::max(now, state_.now);
+        state_.out = &out;
+        std::visit([this](const auto& what) { on(what); }, happened);
+        run_due();
+        finish_stop();
+        state_.out = nullptr;
+    }
+    [[nodiscard]] time_point next_deadline() const
+    {
+        return std::min({state_.members.next_deadline(), state_.health.next_evaluation(), pools_.next_deadline(),
+                         state_.timers.next(), lapses_.next_deadline(), next_purge_, next_readiness_, stop_check_});
+    }
+    [[nodiscard]] bool ready(time_point now) const
+    {
+        return forwards_.fresh(now) && !state_.stopping;
+    }
+    [[nodiscard]] bool stopping() const
+    {
+        return state_.stopping;
+    }
+    [[nodiscard]] const forwarding_bounds& bounds() const
+    {
+        static const forwarding_bounds usual;
+        return forwards_.routes() ? forwards_.routes()->configuration().bounds : usual;
+    }
+
+  private:
+    /// Events of the other core.
+    template <class Event>
+    void on(const Event& /*happened*/)
+    {
+    }
+    void on(const forward_request& asked)
+    {
+        forwards_.handle(asked);
+    }
+    void on(const caller_disconnected& gone)
+    {
+        forwards_.with(gone.request, [](detail::forward& active) { active.caller_gone(); });
+    }
+    void on(const forward_answered& answer)
+    {
+        forwards_.with(answer.attempt, [&](detail::forward& active) { active.answered(answer); });
+    }
+    void on(const forward_progress& progress)
+    {
+        forwards_.with(progress.attempt, [&](detail::forward& active) { active.progressed(progress.events); });
+    }
+    void on(const forward_completed& completed)
+    {
+        forwards_.with(completed.attempt, [&](detail::forward& active) { active.completed(completed.events); });
+    }
+    void on(const attempt_failed& failed)
+    {
+        forwards_.with(failed.attempt,
+                       [&](detail::forward& active) { active.attempt_failed(failed.failure, failed.message); });
+    }
+    void on(const entry_query& asked)
+    {
+        const auto& settings = state_.settings.forwarding;
+        entry_answer answer;
+        answer.request = asked.request;
+        answer.entries = state_.entries.select_near(asked.availability_zone, 2, settings.most_entries, state_.random);
+        answer.keep = settings.entry_keep;
+        state_.emit(std::move(answer));
+    }
+    void on(const forwarding_configured& configured)
+    {
+        if (!forwards_.configure(configured.configuration))
+        {
+            return;
+        }
+        state_.log(log_event::configuration_accepted,
+                   "version=" + std::to_string(configured.configuration.version) +
+                       " routes=" + std::to_string(configured.configuration.routes.size()) +
+                       " customers=" + std::to_string(configured.configuration.customers.size()));
+        set_capacities();
+    }
+    void on(const configuration_confirmed& confirmed)
+    {
+        forwards_.confirm(confirmed.as_of);
+        if (lapses_.source_answered(state_.now))
+        {
+            state_.log(log_event::dependency_regained, "the configuration service answers again");
+        }
+    }
+    void on(const configuration_unavailable& /*unavailable*/)
+    {
+        if (!lapses_.lost())
+        {
+            state_.log(log_event::dependency_lost, "the configuration service does not answer");
+        }
+        lapses_.source_lost();
+    }
+    void on(const instances_listed& listed)
+    {
+        apply_list(lapses_.take(listed, state_.now));
+    }
+    void on(const stop_planned& /*planned*/)
+    {
+        if (state_.stopping)
+        {
+            return;
+        }
+        state_.stopping = true;
+        stop_began_ = state_.now;
+        state_.log(log_event::stop_began, "waiting for requests in progress");
+        membership_output members;
+        state_.members.leave(state_.now, members);
+        apply(members);
+        state_.entries.update(state_.members.self());
+    }
+    void on(const peer_received& received)
+    {
+        membership_output members;
+        state_.members.handle(received.envelope, state_.now, members);
+        apply(members);
+        const instance_id& from = received.envelope.sender;
+        std::visit([&](const auto& message) { on_peer(from, message); }, received.envelope.message);
+    }
+
+    template <class Message>
+    void on_peer(const instance_id& /*from*/, const Message& /*message*/)
+    {
+    }
+    template <class Message>
+    void on_peer(const instance_id& from, const Message& message) requires requires(detail::pool_manager& pools)
+    {
+        pools.handle(from, message);
+    }
+    {
+        pools_.handle(from, message);
+    }
+    void on_peer(const instance_id& from, const permit_grant& grant)
+    {
+        forwards_.handle(grant, from);
+    }
+    void on_peer(const instance_id& /*from*/, const permit_denial& denial)
+    {
+        forwards_.with(denial.request, [&](detail::forward& active) { active.denied(denial.why); });
+    }
+    void on_peer(const instance_id& /*from*/, const permit_queued& queued)
+    {
+        forwards_.with(queued.request, [](detail::forward& active) { active.queued(); });
+    }
+    void on_peer(const instance_id& /*from*/, const quarantine_notice& notice)
+    {
+        if (state_.quarantine.merge(notice, state_.now))
+        {
+            state_.spread({notice});
+        }
+    }
+
+    void apply_list(const instances_listed& list)
+    {
+        const directory_change change = state_.take_list(list);
+        if (change.added.empty() && change.removed.empty() && change.leaving.empty())
+        {
+            return;
+        }
+        for (const auto& gone : change.removed)
+        {
+            state_.log(log_event::endpoint_leaving, gone.endpoint.value() + " is no longer listed");
+        }
+        pools_.endpoints_changed(change);
+        set_capacities();
+        topology_changed_ = true;
+    }
+    /// Engines are not asked for their load: their size is configured, and the pool's permits tell the rest.
+    void set_capacities()
+    {
+        if (!forwards_.routes())
+        {
+            return;
+        }
+        for (const forwarding_service& service : forwards_.routes()->configuration().services)
+        {
+            for (const pool_id& pool : state_.directory.pools_of(service.name))
+            {
+                const std::vector<const endpoint_entry*> members = state_.directory.members_of(pool);
+                for (const endpoint_entry* entry : members)
+                {
+                    set_capacity(service, *entry);
+                }
+            }
+        }
+    }
+    void set_capacity(const forwarding_service& service, const endpoint_entry& entry)
+    {
+        const bool known = entry.load && service.engine && entry.load->slots == service.engine->slots &&
+                           entry.load->memory_capacity == service.engine->memory_tokens;
+        if (!service.engine || known)
+        {
+            return;
+        }
+        load_report size;
+        size.endpoint = entry.endpoint;
+        size.as_of = state_.now;
+        size.slots = service.engine->slots;
+        size.memory_capacity = service.engine->memory_tokens;
+        state_.directory.handle_load(size, state_.now);
+        pools_.load_reported(size);
+    }
+
+    void apply(membership_output& output)
+    {
+        for (auto& message : output.messages)
+        {
+            state_.emit(std::move(message));
+        }
+        for (const auto& change : output.changes)
+        {
+            state_.log(log_event::member_changed, change.instance.value() + " is " + std::string{name_of(change.now)});
+            if (const member_update* member = state_.members.find(change.instance))
+            {
+                state_.entries.update(*member);
+            }
+        }
+        if (!output.changes.empty())
+        {
+            pools_.members_changed();
+            topology_changed_ = true;
+        }
+    }
+    /// The seeds are listed under their addresses until their own names are known.
+    void join()
+    {
+        std::vector<listed_instance> seeds;
+        for (const std::string& address : hints_.seeds)
+        {
+            listed_instance seed;
+            seed.id = "seed " + address;
+            seed.peer_address = address;
+            seed.region = state_.self().region;
+            if (address != state_.self().peer_address)
+            {
+                seeds.push_back(std::move(seed));
+            }
+        }
+        membership_output members;
+        state_.members.handle_list(seeds, state_.now, members);
+        apply(members);
+    }
+
+    void run_due()
+    {
+        if (std::exchange(contact_seeds_, false))
+        {
+            join();
+        }
+        deliver_loopback();
+        advance();
+        detail::core_timer due;
+        while (state_.timers.take_due(state_.now, due))
+        {
+            forwards_.with(due.request, [&](detail::forward& active) { active.timer(due); });
+        }
+        if (std::exchange(topology_changed_, false))
+        {
+            forwards_.scheduler_moved();
+        }
+        deliver_loopback();
+    }
+    void advance()
+    {
+        if (state_.members.next_deadline() <= state_.now)
+        {
+            membership_output members;
+            state_.members.expire(state_.now, members);
+            apply(members);
+        }
+        if (const auto list = lapses_.expire(state_.now))
+        {
+            apply_list(*list);
+        }
+        if (state_.health.next_evaluation() <= state_.now)
+        {
+            for (const auto& change : state_.health.evaluate(state_.now))
+            {
+                const bool ejected = change.state == health_state::ejected;
+                state_.log(ejected ? log_event::endpoint_ejected : log_event::endpoint_restored,
+                           change.endpoint.value() + " is " + std::string{name_of(change.state)});
+                pools_.health_changed(change.endpoint);
+            }
+        }
+        pools_.advance();
+        if (next_readiness_ <= state_.now)
+        {
+            next_readiness_ = state_.now + state_.settings.forwarding.readiness_check;
+            state_.members.set_busy(ready(state_.now) ? 0 : unavailable_percent);
+        }
+        if (next_purge_ <= state_.now)
+        {
+            state_.quarantine.purge(state_.now);
+            state_.reported_health.purge(state_.now);
+            next_purge_ = state_.now + purge_interval;
+        }
+    }
+    void deliver_loopback()
+    {
+        while (!state_.loopback.empty())
+        {
+            const peer_message message = std::move(state_.loopback.front());
+            state_.loopback.pop_front();
+            const instance_id self = state_.self().instance;
+            std::visit([&](const auto& what) { on_peer(self, what); }, message);
+        }
+    }
+    void finish_stop()
+    {
+        if (!state_.stopping || stop_finished_)
+        {
+            return;
+        }
+        const auto& settings = state_.settings.forwarding;
+        const time_point quiet =
+            std::max(stop_began_ + settings.stop_least, forwards_.last_arrival() + settings.stop_quiet);
+        if (forwards_.active() > 0 || state_.now < quiet)
+        {
+            stop_check_ = std::max(quiet, state_.now + duration{1});
+            return;
+        }
+        stop_check_ = never;
+        stop_finished_ = true;
+        state_.log(log_event::stop_finished, "nothing is in progress");
+        state_.emit(stop_complete{});
+    }
+
+    detail::core_state state_;
+    detail::pool_manager pools_;
+    detail::forward_manager forwards_;
+    detail::lapse_filter lapses_;
+    fleet_hints hints_;
+    bool contact_seeds_ = true;
+    bool topology_changed_ = false;
+    bool stop_finished_ = false;
+    time_point stop_began_;
+    time_point stop_check_ = never;
+    time_point next_purge_;
+    time_point next_readiness_;
+};
+
+result<forwarding_core> forwarding_core::make(core_settings settings, fleet_hints hints)
+{
+    auto tokens = token_codec::make(settings.token_keys);
+    if (!tokens.has_value())
+    {
+        return tokens.error();
+    }
+    return forwarding_core{
+        std::make_unique<implementation>(std::move(settings), std::move(tokens).value(), std::move(hints))};
+}
+
+forwarding_core::forwarding_core(std::unique_ptr<implementation> parts) : parts_(std::move(parts)) {}
+
+forwarding_core::forwarding_core(forwarding_core&& other) noexcept = default;
+forwarding_core& forwarding_core::operator=(forwarding_core&& other) noexcept = default;
+forwarding_core::~forwarding_core() = default;
+
+void forwarding_core::handle(const event& happened, time_point now, std::vector<action>& out)
+{
+    parts_->handle(happened, now, out);
+}
+
+time_point forwarding_core::next_deadline() const
+{
+    return parts_->next_deadline();
+}
+
+bool forwarding_core::ready(time_point now) const
+{
+    return parts_->ready(now);
+}
+
+bool forwarding_core::stopping() const
+{
+    return parts_->stopping();
+}
+
+const forwarding_bounds& forwarding_core::bounds() const
+{
+    return parts_->bounds();
+}
+
+void forwarding_core::set_hints(fleet_hints hints)
+{
+    parts_->set_hints(std::move(hints));
+}
+
+} // namespace parsleyshift
--- a/libs/decision_core/src/generation.cpp
+++ b/libs/decision_core/src/generation.cpp
@@ -479,6 +479,7 @@
     case timer_kind::hedge_due:
     case timer_kind::forward_order:
     case timer_kind::handover:
+    case timer_kind::next_attempt:
         break;
     }
 }
--- /dev/null
+++ b/libs/decision_core/src/permit_holder.cpp
@@ -0,0 +1,168 @@
+#include "permit_holder.hpp" // permit_holder
+
+#include <utility> // move
+
+namespace parsleyshift::detail
+{
+namespace
+{
+
+/// Quantile of the output length that the local choice reserves memory for.
+constexpr double local_reserve_quantile = 0.7;
+
+} // namespace
+
+permit_holder::permit_holder(core_state& state, pool_manager& pools, work_description work, fingerprint print)
+    : state_(state), pools_(pools), work_(std::move(work)), print_(print)
+{
+}
+
+bool permit_holder::ask()
+{
+    const auto pool = pools_.pool_for(work_.service);
+    if (!pool)
+    {
+        return false;
+    }
+    pool_ = *pool;
+    ++step_;
+    waiting_ = true;
+    scheduler_answered_ = false;
+    request();
+    add_timer(timer_kind::permit_wait, state_.settings.requests.permit_patience);
+    return true;
+}
+
+void permit_holder::request()
+{
+    state_.send(pools_.host_of(pool_), permit_request{pool_, work_});
+}
+
+void permit_holder::add_timer(timer_kind what, duration wait)
+{
+    state_.timers.add(state_.now + wait, core_timer{what, work_.request, step_});
+}
+
+std::optional<permit_grant> permit_holder::timer(const core_timer& due)
+{
+    if (due.step != step_ || permit_)
+    {
+        return std::nullopt;
+    }
+    if (due.what == timer_kind::try_again)
+    {
+        ask();
+        return std::nullopt;
+    }
+    if (!waiting_)
+    {
+        return std::nullopt;
+    }
+    if (!scheduler_answered_)
+    {
+        return choose_locally();
+    }
+    scheduler_answered_ = false;
+    request();
+    add_timer(timer_kind::permit_wait, state_.settings.requests.permit_keepalive);
+    return std::nullopt;
+}
+
+std::optional<permit_grant> permit_holder::choose_locally()
+{
+    const auto chosen = pools_.choose_locally(pool_, expected_memory());
+    if (!chosen || !state_.quarantine.may_run(print_, *chosen, state_.now))
+    {
+        // Asks again, in case the scheduler is back, and looks for room in the own share meanwhile.
+        request();
+        add_timer(timer_kind::permit_wait, state_.settings.requests.local_retry);
+        return std::nullopt;
+    }
+    state_.send(pools_.host_of(pool_), permit_withdrawal{pool_, work_.request});
+    permit_grant own;
+    own.request = work_.request;
+    own.permit = permit_id{state_.random.bits()};
+    own.endpoint = *chosen;
+    return own;
+}
+
+bool permit_holder::take(const permit_grant& grant, bool from_scheduler)
+{
+    const endpoint_entry* entry = state_.directory.find(grant.endpoint);
+    const bool usable = waiting_ && entry != nullptr && !entry->leaving &&
+                        state_.quarantine.may_run(print_, grant.endpoint, state_.now);
+    if (usable)
+    {
+        waiting_ = false;
+        permit_ = grant;
+        return true;
+    }
+    if (from_scheduler && (!permit_ || permit_->permit != grant.permit))
+    {
+        state_.send(pools_.host_of(pool_),
+                    permit_return{pool_, grant.permit, grant.endpoint, work_.customer, work_.work_class, 0, false});
+    }
+    if (waiting_)
+    {
+        // The scheduler does not know yet what is known here; asks again after a moment.
+        waiting_ = false;
+        ++step_;
+        add_timer(timer_kind::try_again, state_.settings.requests.local_retry);
+    }
+    return false;
+}
+
+void permit_holder::queued()
+{
+    scheduler_answered_ = true;
+}
+
+void permit_holder::denied()
+{
+    waiting_ = false;
+}
+
+void permit_holder::scheduler_moved(std::int64_t tokens)
+{
+    if (waiting_)
+    {
+        scheduler_answered_ = false;
+        request();
+    }
+    else if (permit_)
+    {
+        renew(tokens);
+    }
+}
+
+void permit_holder::renew(std::int64_t tokens)
+{
+    if (permit_)
+    {
+        state_.send(pools_.host_of(pool_),
+                    permit_registration{pool_, permit_->permit, permit_->endpoint, work_, tokens, permit_->priority});
+    }
+}
+
+void permit_holder::give_back(std::int64_t tokens, bool completed)
+{
+    if (permit_)
+    {
+        state_.send(pools_.host_of(pool_), permit_return{pool_, permit_->permit, permit_->endpoint, work_.customer,
+                                                         work_.work_class, tokens, completed});
+        permit_.reset();
+    }
+    else if (waiting_)
+    {
+        state_.send(pools_.host_of(pool_), permit_withdrawal{pool_, work_.request});
+    }
+    waiting_ = false;
+}
+
+std::int64_t permit_holder::expected_memory() const
+{
+    return work_.prompt_tokens +
+           state_.lengths.total(work_.work_class, work_.customer, local_reserve_quantile, 0, work_.max_tokens);
+}
+
+} // namespace parsleyshift::detail
--- a/libs/decision_core/src/record_view.cpp
+++ b/libs/decision_core/src/record_view.cpp
@@ -53,12 +53,12 @@
     if (const auto parsed = parse_record(record); parsed.has_value())
     {
         raw_[key] = record;
-        store(parsed.value());
+        put(parsed.value());
     }
     return kind;
 }
 
-void record_view::store(const record_body& body)
+void record_view::put(const record_body& body)
 {
     std::visit(
         [this](const auto& record)
--- a/libs/decision_core/src/record_view.hpp
+++ b/libs/decision_core/src/record_view.hpp
@@ -37,6 +37,9 @@
     /// @return its kind
     record_kind apply(const raw_record& record);
 
+    /// @brief Takes a record that does not come from the configuration service.
+    void put(const record_body& body);
+
     [[nodiscard]] const service_record* service(const service_id& name) const;
     [[nodiscard]] const customer_record* customer(const customer_id& name) const;
     /// @brief The record of a class, or nullptr.
@@ -62,7 +65,6 @@
     [[nodiscard]] placement_configuration placement() const;
 
   private:
-    void store(const record_body& body);
     void remove(record_kind kind, const std::string& name);
 
     std::map<record_key, raw_record> raw_;
--- /dev/null
+++ b/libs/decision_core/tests/forwarding_core_test.cpp
@@ -0,0 +1,528 @@
+#include <parsleyshift/test_support/property.hpp> // check_property
+
+#include <parsleyshift/core/random_source.hpp>            // random_source
+#include <parsleyshift/decision_core/forwarding_core.hpp> // forwarding_core
+
+#include <algorithm> // count_if
+#include <map>       // map
+#include <optional>  // optional
+#include <string>    // string
+#include <variant>   // get_if
+#include <vector>    // vector
+
+using namespace parsleyshift;
+using namespace parsleyshift::literals;
+
+namespace
+{
+
+constexpr time_point start = at_ms(1'000'000'000);
+const service_id desk{"desk"};
+const service_id writers{"writers"};
+
+route made_route(const std::string& prefix, route_kind kind, const service_id& service, int attempts = 1)
+{
+    route made;
+    made.name = "r" + prefix;
+    made.host = "h";
+    made.path_prefix = prefix;
+    made.kind = kind;
+    made.targets = {{service, 1.0}};
+    made.timeout = 3'000_ms;
+    made.objective = 400_ms;
+    made.most_attempts = attempts;
+    return made;
+}
+
+forwarding_configuration configuration(std::int64_t version, std::vector<std::string> keys)
+{
+    forwarding_configuration made;
+    made.version = version;
+    made.routes = {made_route("/look/", route_kind::idempotent, desk, 2), made_route("/order/", route_kind::once, desk),
+                   made_route("/plan/", route_kind::stream, writers)};
+    made.routes.back().timeout = 30_s;
+    route open = made_route("/open/", route_kind::idempotent, desk, 2);
+    open.anonymous = true;
+    made.routes.push_back(open);
+    made.services = {{desk, 100, std::nullopt}, {writers, 100, engine_capacity{8, 20'000, 4}}};
+    made.customers = {{customer_id{"c"}, std::move(keys), std::nullopt}};
+    return made;
+}
+
+listed_instance endpoint(const std::string& id, const service_id& service, bool leaving = false)
+{
+    return {id,           instance_role::engine, service, "10.0.0.1:80", "",
+            zone_id{"z"}, region_id{"r"},        leaving, incarnation{1}};
+}
+
+/// One core without peers, driven in virtual time.
+class single_core
+{
+  public:
+    single_core() : core_(forwarding_core::make(settings(), {}).value())
+    {
+        feed(timer_expired{});
+    }
+
+    static core_settings settings()
+    {
+        core_settings made;
+        made.self.instance = instance_id{"i"};
+        made.self.started = incarnation{1};
+        made.self.address = "10.0.0.9:80";
+        made.self.peer_address = "10.0.0.9:81";
+        made.self.availability_zone = zone_id{"z"};
+        made.self.region = region_id{"r"};
+        made.token_keys = {token_key{"k", "0123456789012345678901234567890123456789"}};
+        return forwarding_settings_of(made);
+    }
+    void feed(const event& what)
+    {
+        core_.handle(what, now, out_);
+        for (action& each : out_)
+        {
+            take(each);
+        }
+        out_.clear();
+    }
+    /// Lets time pass, with every deadline of the core on its way.
+    void pass(duration time)
+    {
+        const time_point end = now + time;
+        while (core_.next_deadline() <= end)
+        {
+            now = std::max(now + 1_ms, core_.next_deadline());
+            feed(timer_expired{});
+        }
+        now = std::max(now, end);
+    }
+    /// Configured, fresh, with two desks and two writers.
+    void serve(std::vector<std::string> keys = {"key"})
+    {
+        feed(forwarding_configured{configuration(1, std::move(keys))});
+        feed(configuration_confirmed{now});
+        list({endpoint("d1", desk), endpoint("d2", desk), endpoint("w1", writers), endpoint("w2", writers)});
+    }
+    void list(std::vector<listed_instance> endpoints)
+    {
+        feed(instances_listed{now, std::move(endpoints)});
+    }
+    request_id ask(const std::string& path, const std::string& key = "key")
+    {
+        forward_request asked;
+        asked.request = request_id{++asked_};
+        asked.caller_id = std::to_string(asked_);
+        asked.host = "h";
+        asked.path = path;
+        asked.key = key;
+        asked.prompt_tokens = 100;
+        asked.max_tokens = 400;
+        asked.content = asked_;
+        feed(asked);
+        return asked.request;
+    }
+    /// The last attempt of a request that was sent.
+    const start_forward* sent(request_id request) const
+    {
+        const start_forward* last = nullptr;
+        for (const start_forward& each : starts)
+        {
+            last = each.request == request ? &each : last;
+        }
+        return last;
+    }
+    std::size_t times_sent(request_id request) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            starts.begin(), starts.end(), [request](const start_forward& each) { return each.request == request; }));
+    }
+    const request_rejected* rejection(request_id request) const
+    {
+        const auto found = rejections.find(request.value());
+        return found == rejections.end() ? nullptr : &found->second;
+    }
+    [[nodiscard]] bool ready() const
+    {
+        return core_.ready(now);
+    }
+
+    time_point now = start;
+    std::vector<start_forward> starts;
+    std::vector<attempt_id> dropped;
+    std::vector<deliver_forward> delivered;
+    std::map<std::uint64_t, request_rejected> rejections;
+    std::vector<entry_answer> entries;
+    bool rejected_twice = false;
+    bool stopped = false;
+
+  private:
+    void take(action& each)
+    {
+        if (auto* begun = std::get_if<start_forward>(&each))
+        {
+            starts.push_back(std::move(*begun));
+        }
+        else if (const auto* drop = std::get_if<drop_forward>(&each))
+        {
+            dropped.push_back(drop->attempt);
+        }
+        else if (const auto* deliver = std::get_if<deliver_forward>(&each))
+        {
+            delivered.push_back(*deliver);
+        }
+        else if (auto* rejected = std::get_if<request_rejected>(&each))
+        {
+            const std::uint64_t request = rejected->request.value();
+            rejected_twice = !rejections.emplace(request, std::move(*rejected)).second || rejected_twice;
+        }
+        else if (auto* answer = std::get_if<entry_answer>(&each))
+        {
+            entries.push_back(std::move(*answer));
+        }
+        else if (std::holds_alternative<stop_complete>(each))
+        {
+            stopped = true;
+        }
+    }
+
+    forwarding_core core_;
+    std::vector<action> out_;
+    std::uint64_t asked_ = 0;
+};
+
+} // namespace
+
+TEST_GROUP(forwarding_core)
+{
+    single_core core;
+
+    error_kind why(request_id request) const
+    {
+        const request_rejected* rejected = core.rejection(request);
+        return rejected == nullptr ? error_kind::internal : rejected->why.kind;
+    }
+    outcome how(request_id request) const
+    {
+        const request_rejected* rejected = core.rejection(request);
+        return rejected == nullptr ? outcome::completed : rejected->what;
+    }
+};
+
+// Guards against a fresh process that denies routes and keys that it does not know yet.
+TEST(forwarding_core, refuses_for_now_until_it_knows_a_configuration)
+{
+    const request_id early = core.ask("/look/1");
+    CHECK(why(early) == error_kind::configuration_missing);
+    CHECK(how(early) == outcome::not_run);
+    CHECK(core.rejection(early)->why.retry_after.has_value());
+    CHECK_FALSE(core.ready());
+    core.serve();
+    CHECK(core.ready());
+    CHECK(core.sent(core.ask("/look/1")) != nullptr);
+}
+
+TEST(forwarding_core, denies_unknown_routes_and_keys_while_it_is_sure)
+{
+    core.serve();
+    CHECK(why(core.ask("/none/1")) == error_kind::not_found);
+    CHECK(why(core.ask("/look/1", "other")) == error_kind::unauthenticated);
+    CHECK(why(core.ask("/look/1", "")) == error_kind::unauthenticated);
+    CHECK(core.sent(core.ask("/open/1", "")) != nullptr);
+    core.pass(5_s);
+    CHECK(why(core.ask("/none/1")) == error_kind::configuration_missing);
+    CHECK(why(core.ask("/look/1", "other")) == error_kind::configuration_missing);
+    CHECK(why(core.ask("/look/1")) == error_kind::configuration_missing);
+    CHECK_FALSE(core.ready());
+    // A route without keys is served as long as the configuration is known.
+    CHECK(core.sent(core.ask("/open/1", "")) != nullptr);
+}
+
+// Guards against a request that is sent with a key whose removal this instance may not have seen yet.
+TEST(forwarding_core, sends_no_request_after_its_key_may_have_been_removed)
+{
+    core.serve();
+    const request_id request = core.ask("/order/1");
+    CHECK(core.sent(request)->not_after <= core.now + 4'300_ms);
+    core.feed(attempt_failed{core.sent(request)->attempt, attempt_failure::deadline_passed, "late"});
+    CHECK(how(request) == outcome::not_run);
+    CHECK(why(request) == error_kind::configuration_missing);
+}
+
+// Guards against a lease that grows with the time of an answer instead of the time of its question.
+TEST(forwarding_core, counts_the_lease_from_the_time_that_was_confirmed)
+{
+    core.serve();
+    core.pass(4_s);
+    core.feed(configuration_confirmed{start + 1_s});
+    core.pass(1'200_ms);
+    CHECK_TRUE(core.ready());
+    core.pass(200_ms);
+    CHECK_FALSE(core.ready());
+    core.feed(configuration_confirmed{start});
+    CHECK_FALSE(core.ready());
+}
+
+// Guards against a configuration that goes back within one process.
+TEST(forwarding_core, never_goes_back_to_an_older_configuration)
+{
+    core.serve();
+    core.feed(forwarding_configured{configuration(3, {"new"})});
+    core.feed(forwarding_configured{configuration(2, {"key"})});
+    CHECK(why(core.ask("/look/1", "key")) == error_kind::unauthenticated);
+    CHECK(core.sent(core.ask("/look/1", "new")) != nullptr);
+}
+
+// Guards against a second run of a request that may run once only.
+TEST(forwarding_core, repeats_once_requests_only_with_a_proof)
+{
+    core.serve();
+    const request_id proven = core.ask("/order/1");
+    const endpoint_id first = core.sent(proven)->endpoint;
+    core.feed(attempt_failed{core.sent(proven)->attempt, attempt_failure::not_started, "full"});
+    core.pass(100_ms);
+    LONGS_EQUAL(2, core.times_sent(proven));
+    CHECK(core.sent(proven)->endpoint != first);
+    for (const attempt_failure failure : {attempt_failure::link_broken, attempt_failure::endpoint_error})
+    {
+        const request_id unsure = core.ask("/order/2");
+        core.feed(attempt_failed{core.sent(unsure)->attempt, failure, "reset"});
+        core.pass(3'500_ms);
+        core.feed(configuration_confirmed{core.now});
+        LONGS_EQUAL(1, core.times_sent(unsure));
+        CHECK(how(unsure) != outcome::not_run);
+    }
+}
+
+// Guards against more endpoints for one request than its route allows.
+TEST(forwarding_core, keeps_the_attempts_of_the_route)
+{
+    core.serve();
+    const request_id request = core.ask("/look/1");
+    core.feed(attempt_failed{core.sent(request)->attempt, attempt_failure::link_broken, "reset"});
+    core.pass(200_ms);
+    LONGS_EQUAL(2, core.times_sent(request));
+    core.feed(attempt_failed{core.sent(request)->attempt, attempt_failure::link_broken, "reset"});
+    core.pass(200_ms);
+    LONGS_EQUAL(2, core.times_sent(request));
+    CHECK(how(request) != outcome::not_run);
+}
+
+// Guards against a repeat of a failed answer that costs the caller the answer when no attempt is left.
+TEST(forwarding_core, repeats_a_fault_and_delivers_the_last_answer)
+{
+    core.serve();
+    const request_id request = core.ask("/look/1");
+    core.feed(forward_answered{core.sent(request)->attempt, answer_sign::fault, true});
+    LONGS_EQUAL(2, core.times_sent(request));
+    LONGS_EQUAL(1, core.dropped.size());
+    LONGS_EQUAL(0, core.delivered.size());
+    core.feed(forward_answered{core.sent(request)->attempt, answer_sign::fault, true});
+    LONGS_EQUAL(2, core.times_sent(request));
+    LONGS_EQUAL(1, core.delivered.size());
+    POINTERS_EQUAL(nullptr, core.rejection(request));
+}
+
+// Guards against retries that multiply the load of a service that fails.
+TEST(forwarding_core, keeps_repeats_within_the_budget)
+{
+    core.serve();
+    std::size_t sent = 0;
+    for (int each = 0; each < 40; ++each)
+    {
+        const request_id request = core.ask("/look/1");
+        core.feed(attempt_failed{core.sent(request)->attempt, attempt_failure::link_broken, "reset"});
+        core.pass(200_ms);
+        core.feed(configuration_confirmed{core.now});
+        sent += core.times_sent(request);
+    }
+    CHECK(sent <= 40 + 3);
+}
+
+// Guards against a caller that waits past its time, and a false promise for a request that was sent.
+TEST(forwarding_core, answers_at_the_deadline)
+{
+    core.serve();
+    const request_id request = core.ask("/order/1");
+    core.pass(2'990_ms);
+    POINTERS_EQUAL(nullptr, core.rejection(request));
+    core.pass(20_ms);
+    CHECK(why(request) == error_kind::deadline_passed);
+    CHECK(how(request) == outcome::unknown);
+    LONGS_EQUAL(1, core.dropped.size());
+}
+
+// Guards against endpoints that work on for callers who have left.
+TEST(forwarding_core, drops_the_attempt_of_a_caller_who_left)
+{
+    core.serve();
+    const request_id request = core.ask("/plan/1");
+    core.feed(caller_disconnected{request});
+    CHECK(core.dropped == std::vector<attempt_id>{core.sent(request)->attempt});
+    core.feed(forward_answered{core.sent(request)->attempt, answer_sign::success, false});
+    LONGS_EQUAL(0, core.delivered.size());
+}
+
+// Guards against a stream that is joined from two runs.
+TEST(forwarding_core, ends_a_broken_stream_without_another_run)
+{
+    core.serve();
+    const request_id request = core.ask("/plan/1");
+    const attempt_id attempt = core.sent(request)->attempt;
+    core.feed(forward_answered{attempt, answer_sign::success, false});
+    core.feed(forward_progress{attempt, 3});
+    core.feed(attempt_failed{attempt, attempt_failure::link_broken, "reset"});
+    core.pass(1_s);
+    LONGS_EQUAL(1, core.times_sent(request));
+    CHECK(how(request) == outcome::failed);
+}
+
+// Guards against a stream that is held open for a caller after its endpoint has gone silent.
+TEST(forwarding_core, gives_up_a_silent_stream)
+{
+    core.serve();
+    const request_id request = core.ask("/plan/1");
+    const attempt_id attempt = core.sent(request)->attempt;
+    core.feed(forward_answered{attempt, answer_sign::success, false});
+    core.feed(forward_progress{attempt, 1});
+    core.pass(2'600_ms);
+    CHECK(why(request) == error_kind::link_broken);
+    CHECK(core.dropped == std::vector<attempt_id>{attempt});
+}
+
+// Guards against work for an endpoint that leaves, is gone, or is another process under an old name.
+TEST(forwarding_core, sends_nothing_to_leaving_endpoints)
+{
+    core.serve();
+    core.list({endpoint("d1", desk, true), endpoint("d2", desk)});
+    for (int each = 0; each < 10; ++each)
+    {
+        CHECK(core.sent(core.ask("/look/1"))->endpoint == endpoint_id{"d2"});
+    }
+    core.list({endpoint("d1", desk, true)});
+    CHECK(why(core.ask("/look/1")) == error_kind::no_endpoint);
+    listed_instance reborn = endpoint("d1", desk);
+    reborn.started = incarnation{2};
+    core.list({reborn});
+    CHECK(core.sent(core.ask("/look/1")) != nullptr);
+}
+
+// Guards against an outage of the store that takes the endpoints with it, and against endpoints that stay for good.
+TEST(forwarding_core, keeps_endpoints_whose_entries_lapsed_during_an_outage)
+{
+    core.serve();
+    core.feed(configuration_unavailable{});
+    core.pass(1_s);
+    core.feed(configuration_confirmed{core.now});
+    core.list({endpoint("w1", writers)});
+    CHECK(core.sent(core.ask("/look/1")) != nullptr);
+    core.list({endpoint("w1", writers), endpoint("d2", desk)});
+    core.pass(3_s);
+    core.feed(configuration_confirmed{core.now});
+    for (int each = 0; each < 10; ++each)
+    {
+        CHECK(core.sent(core.ask("/look/1"))->endpoint == endpoint_id{"d2"});
+    }
+}
+
+// Guards against callers that are sent to an instance that cannot serve them while another one can.
+TEST(forwarding_core, names_itself_when_it_knows_no_other_instance)
+{
+    core.feed(entry_query{request_id{1}, customer_id{}, zone_id{"z"}});
+    LONGS_EQUAL(1, core.entries.size());
+    LONGS_EQUAL(1, core.entries[0].entries.size());
+    STRCMP_EQUAL("10.0.0.9:80", core.entries[0].entries[0].address.c_str());
+}
+
+// Guards against a stop that cuts requests in progress, or that never ends.
+TEST(forwarding_core, stops_when_nothing_is_in_progress)
+{
+    core.serve();
+    const request_id request = core.ask("/plan/1");
+    core.feed(stop_planned{});
+    CHECK_FALSE(core.ready());
+    const request_id late = core.ask("/look/1");
+    CHECK(core.sent(late) != nullptr);
+    core.feed(forward_answered{core.sent(late)->attempt, answer_sign::success, true});
+    const attempt_id attempt = core.sent(request)->attempt;
+    core.feed(forward_answered{attempt, answer_sign::success, false});
+    for (int second = 0; second < 6; ++second)
+    {
+        core.feed(forward_progress{attempt, second});
+        core.pass(1_s);
+        CHECK_FALSE(core.stopped);
+    }
+    core.feed(forward_completed{attempt, 7});
+    core.pass(10_ms);
+    CHECK_TRUE(core.stopped);
+}
+
+// Guards against two runs of a once request, a false promise, and a request without an end, over random failures.
+TEST(forwarding_core, keeps_its_promises_over_random_failures)
+{
+    test_support::check_property(
+        "each request ends once, and once requests run at most once",
+        [](std::uint64_t seed)
+        {
+            random_source random{seed};
+            single_core driven;
+            driven.serve();
+            std::map<std::uint64_t, int> runs;
+            std::size_t seen = 0;
+            std::size_t asked = 0;
+            const auto settle = [&](const start_forward& begun)
+            {
+                switch (random.index(6))
+                {
+                case 0:
+                    driven.feed(attempt_failed{begun.attempt, attempt_failure::not_started, "full"});
+                    break;
+                case 1:
+                    driven.feed(attempt_failed{begun.attempt, attempt_failure::connect_failed, "refused"});
+                    break;
+                case 2:
+                    ++runs[begun.request.value()];
+                    driven.feed(attempt_failed{begun.attempt, attempt_failure::link_broken, "reset"});
+                    break;
+                case 3:
+                    ++runs[begun.request.value()];
+                    driven.feed(forward_answered{begun.attempt, answer_sign::fault, true});
+                    break;
+                case 4:
+                    // No answer at all.
+                    ++runs[begun.request.value()];
+                    break;
+                default:
+                    ++runs[begun.request.value()];
+                    driven.feed(forward_answered{begun.attempt, answer_sign::success, true});
+                    break;
+                }
+            };
+            for (int step = 0; step < 30; ++step)
+            {
+                driven.ask(random.index(2) == 0 ? "/order/1" : "/plan/1");
+                ++asked;
+                while (seen < driven.starts.size())
+                {
+                    const start_forward begun = driven.starts[seen++];
+                    settle(begun);
+                }
+                driven.pass(duration{static_cast<duration::rep>(random.index(400))});
+                driven.feed(configuration_confirmed{driven.now});
+            }
+            while (seen < driven.starts.size())
+            {
+                const start_forward begun = driven.starts[seen++];
+                settle(begun);
+            }
+            driven.pass(10_s);
+            for (const auto& [request, count] : runs)
+            {
+                RC_ASSERT(count <= 1);
+                const request_rejected* rejected = driven.rejection(request_id{request});
+                const bool denied = rejected != nullptr && rejected->what == outcome::not_run;
+                RC_ASSERT_FALSE(denied);
+            }
+            RC_ASSERT_FALSE(driven.rejected_twice);
+            RC_ASSERT(driven.rejections.size() + driven.delivered.size() == asked);
+        });
+}
--- a/libs/entry/include/parsleyshift/entry/entry_selector.hpp
+++ b/libs/entry/include/parsleyshift/entry/entry_selector.hpp
@@ -68,6 +68,12 @@
     /// @param zone the caller's availability zone; an unknown one gives no preference
     [[nodiscard]] entry_ranking select(const customer_id& customer, const zone_id& zone, random_source& random) const;
 
+    /// @brief Ranks entries for callers of a zone, whoever their customer is: the usable members of the zone, with
+    /// those of the region where the zone has fewer than `least`, and with all where the region has. O(members).
+    /// @param most addresses in the answer
+    [[nodiscard]] std::vector<entry_choice> select_near(const zone_id& zone, std::size_t least, std::size_t most,
+                                                        random_source& random) const;
+
     /// @brief True when a customer's traffic belongs to this instance's slot. O(entry_slots).
     [[nodiscard]] bool serves(const customer_id& customer) const;
 
@@ -81,7 +87,8 @@
     [[nodiscard]] candidates outside_shard(const customer_id& customer) const;
     [[nodiscard]] candidates last_resort() const;
     [[nodiscard]] int distance(const member_update& member, const zone_id& zone) const;
-    [[nodiscard]] std::vector<entry_choice> rank(candidates found, const zone_id& zone, random_source& random) const;
+    [[nodiscard]] std::vector<entry_choice> rank(candidates found, const zone_id& zone, std::size_t most,
+                                                 random_source& random) const;
 
     entry_policy policy_;
     fleet_record fleet_;
--- a/libs/entry/src/entry_selector.cpp
+++ b/libs/entry/src/entry_selector.cpp
@@ -4,7 +4,8 @@
 
 #include "slot_score.hpp" // slot_scores, best_slots
 
-#include <algorithm> // find, stable_sort
+#include <algorithm> // copy_if, find, stable_sort
+#include <iterator>  // back_inserter
 #include <utility>   // move, swap
 
 namespace parsleyshift
@@ -162,7 +163,8 @@
     return region != region_of_.end() && member.region == region->second ? 1 : 2;
 }
 
-std::vector<entry_choice> entry_selector::rank(candidates found, const zone_id& zone, random_source& random) const
+std::vector<entry_choice> entry_selector::rank(candidates found, const zone_id& zone, std::size_t most,
+                                               random_source& random) const
 {
     // Ordered by instance first, so that the order depends on the seed only and not on the layout of the hash table.
     std::sort(found.begin(), found.end(),
@@ -174,9 +176,9 @@
     std::stable_sort(found.begin(), found.end(),
                      [&](const member_update* left, const member_update* right)
                      { return distance(*left, zone) < distance(*right, zone); });
-    if (found.size() > policy_.most_entries)
+    if (found.size() > most)
     {
-        found.resize(policy_.most_entries);
+        found.resize(most);
     }
     std::vector<entry_choice> entries;
     for (const member_update* member : found)
@@ -193,7 +195,8 @@
     std::erase_if(fresh, [this](const member_update* member) { return overloaded(*member); });
     if (!fresh.empty())
     {
-        return {rank(std::move(fresh), zone, random), random.jittered(policy_.keep, policy_.keep_spread)};
+        return {rank(std::move(fresh), zone, policy_.most_entries, random),
+                random.jittered(policy_.keep, policy_.keep_spread)};
     }
     // An overloaded shard is not widened: its load may come from this customer, and must not reach other slots.
     candidates found = shard;
@@ -205,7 +208,22 @@
     {
         found = last_resort();
     }
-    return {rank(std::move(found), zone, random), random.jittered(policy_.short_keep, policy_.keep_spread)};
+    return {rank(std::move(found), zone, policy_.most_entries, random),
+            random.jittered(policy_.short_keep, policy_.keep_spread)};
+}
+
+std::vector<entry_choice> entry_selector::select_near(const zone_id& zone, std::size_t least, std::size_t most,
+                                                      random_source& random) const
+{
+    constexpr int distances = 3;
+    const candidates usable = last_resort();
+    candidates found;
+    for (int reach = 0; reach < distances && found.size() < least; ++reach)
+    {
+        std::copy_if(usable.begin(), usable.end(), std::back_inserter(found),
+                     [&](const member_update* member) { return distance(*member, zone) == reach; });
+    }
+    return rank(std::move(found), zone, most, random);
 }
 
 bool entry_selector::serves(const customer_id& customer) const
--- a/libs/messages/include/parsleyshift/messages/action.hpp
+++ b/libs/messages/include/parsleyshift/messages/action.hpp
@@ -2,6 +2,7 @@
 
 #include <parsleyshift/core/error.hpp>        // error
 #include <parsleyshift/messages/endpoint.hpp> // placement_order
+#include <parsleyshift/messages/forward.hpp>  // start_forward
 #include <parsleyshift/messages/peer.hpp>     // peer_message
 #include <parsleyshift/messages/request.hpp>  // outcome, token_list
 
@@ -240,6 +241,15 @@
     instance_started,
     /// Input from outside was malformed or exceeded a bound.
     input_rejected,
+    /// A forwarded request was sent to an endpoint.
+    request_sent,
+    /// A forwarded request ended.
+    request_ended,
+    /// The configuration service does not answer, or answers again.
+    dependency_lost,
+    dependency_regained,
+    /// The settings file has changed and was read again.
+    settings_reloaded,
 };
 
 template <>
@@ -258,7 +268,12 @@
                                      enum_name<log_event>{log_event::stop_finished, "stop_finished"},
                                      enum_name<log_event>{log_event::request_failed, "request_failed"},
                                      enum_name<log_event>{log_event::instance_started, "instance_started"},
-                                     enum_name<log_event>{log_event::input_rejected, "input_rejected"}};
+                                     enum_name<log_event>{log_event::input_rejected, "input_rejected"},
+                                     enum_name<log_event>{log_event::request_sent, "request_sent"},
+                                     enum_name<log_event>{log_event::request_ended, "request_ended"},
+                                     enum_name<log_event>{log_event::dependency_lost, "dependency_lost"},
+                                     enum_name<log_event>{log_event::dependency_regained, "dependency_regained"},
+                                     enum_name<log_event>{log_event::settings_reloaded, "settings_reloaded"}};
 };
 
 /// One line for the structured log.
@@ -285,6 +300,7 @@
 using action = std::variant<start_generation, resume_generation, cancel_attempt, set_attempt_reading, start_call,
                             stream_started, stream_tokens, stream_ended, whole_answer, call_answer, request_rejected,
                             entry_answer, key_answer, cancel_answer, send_to_peer, read_configuration, watch_endpoint,
-                            send_placement_order, observe, request_finished, write_log, stop_complete, operator_answer>;
+                            send_placement_order, observe, request_finished, write_log, stop_complete, operator_answer,
+                            start_forward, drop_forward, deliver_forward>;
 
 } // namespace parsleyshift
--- a/libs/messages/include/parsleyshift/messages/event.hpp
+++ b/libs/messages/include/parsleyshift/messages/event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <parsleyshift/messages/endpoint.hpp> // load_report, attempt_failure
+#include <parsleyshift/messages/forward.hpp>  // forward_request
 #include <parsleyshift/messages/peer.hpp>     // peer_envelope
 #include <parsleyshift/messages/platform.hpp> // raw_record, listed_instance
 #include <parsleyshift/messages/request.hpp>  // generation_request
@@ -139,6 +140,7 @@
                  order_query, entry_query, caller_disconnected, caller_stalled, caller_drained, attempt_started,
                  attempt_tokens, attempt_ended, attempt_failed, call_answered, load_reported, load_unavailable,
                  cache_reported, placement_answered, configuration_received, configuration_unavailable,
-                 instances_listed, peer_received, stop_planned, timer_expired, operator_query>;
+                 instances_listed, peer_received, stop_planned, timer_expired, operator_query, forward_request,
+                 forward_answered, forward_progress, forward_completed, forwarding_configured, configuration_confirmed>;
 
 } // namespace parsleyshift
--- a/libs/messages/include/parsleyshift/messages/platform.hpp
+++ b/libs/messages/include/parsleyshift/messages/platform.hpp
@@ -55,6 +55,8 @@
     zone_id availability_zone;
     region_id region;
     bool leaving = false;
+    /// Process start number; a change under the same id is another process. 0 when the list does not tell it.
+    incarnation started{};
 
     friend bool operator==(const listed_instance&, const listed_instance&) = default;
 };
--- a/libs/routing/include/parsleyshift/routing/endpoint_directory.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_directory.hpp
@@ -30,6 +30,8 @@
     region_id region;
     /// False for a plain service.
     bool engine = true;
+    /// Process start number from the list; 0 when the list does not tell it.
+    incarnation started;
     /// Set by the first sign from any source and kept until the list shows the endpoint gone.
     bool leaving = false;
     std::optional<load_report> load;
@@ -42,9 +44,9 @@
 /// @brief What a list changed.
 struct directory_change
 {
-    /// New endpoints, and known ids with a new address, which are new processes.
+    /// New endpoints, and known ids with a new address or process start, which are new processes.
     std::vector<endpoint_id> added;
-    /// Endpoints that the list no longer shows, and known ids with a new address.
+    /// Endpoints that the list no longer shows, and known ids with a new address or process start.
     std::vector<endpoint_entry> removed;
     /// Endpoints that the list is the first to show as leaving.
     std::vector<endpoint_id> leaving;
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -47,6 +47,7 @@
     entry.region = row.region;
     entry.engine = row.role == instance_role::engine;
     entry.leaving = row.leaving;
+    entry.started = row.started;
     std::vector<const endpoint_entry*>& members = pools_[entry.pool];
     if (members.empty())
     {
@@ -89,7 +90,7 @@
     }
     known->second.reading = reading_;
     endpoint_entry& entry = known->second.entry;
-    if (entry.address == row.address)
+    if (entry.address == row.address && entry.started == row.started)
     {
         if (row.leaving && mark_leaving(entry))
         {
--- a/libs/runtime/include/parsleyshift/runtime/event_log.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/event_log.hpp
@@ -15,6 +15,10 @@
 {
 class thread_pool;
 }
+namespace sinks
+{
+class sink;
+}
 } // namespace spdlog
 
 namespace parsleyshift
@@ -44,6 +48,9 @@
   public:
     /// @param least name of the lowest level that is written: debug, info, warning or error
     event_log(log_format format, std::string_view least, instance_id instance);
+    /// @brief Writes to a sink on the calling thread; the sink must not block.
+    event_log(log_format format, std::string_view least, instance_id instance,
+              std::shared_ptr<spdlog::sinks::sink> sink);
     ~event_log();
     event_log(const event_log&) = delete;
     event_log& operator=(const event_log&) = delete;
@@ -53,6 +60,8 @@
     /// @param request the request concerned; 0 when there is none
     void write(log_level level, log_event what, std::string_view detail, request_id request = request_id{});
 
+    /// @brief Changes the lowest level that is written. No other thread may write meanwhile.
+    void set_least(std::string_view least);
     /// @brief True when lines of the level are written; saves making their text.
     [[nodiscard]] bool writes(log_level level) const noexcept;
 
--- a/libs/runtime/src/http_client.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_client.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
-#include "net.hpp" // tcp_socket, steady_timer
-
 #include <parsleyshift/core/clock.hpp>        // time_point
 #include <parsleyshift/core/error.hpp>        // result
 #include <parsleyshift/messages/endpoint.hpp> // attempt_failure
+#include <parsleyshift/runtime/net.hpp>       // tcp_socket, steady_timer
+
+#include <boost/beast/http/fields.hpp>  // fields
+#include <boost/beast/http/message.hpp> // response_header
 
 #include <cstddef>       // size_t
 #include <functional>    // function
@@ -40,6 +42,9 @@
     std::optional<std::size_t> body_limit;
 };
 
+/// @brief Status and fields of an answer.
+using response_head = boost::beast::http::response_header<boost::beast::http::fields>;
+
 /// @brief Makes the text of a request. @param body empty for requests without a body
 std::string request_text(std::string_view method, std::string_view target, std::string_view address,
                          std::string_view body);
@@ -55,7 +60,8 @@
     exchange_sink(exchange_sink&&) = delete;
     exchange_sink& operator=(exchange_sink&&) = delete;
 
-    virtual void on_head(unsigned status) = 0;
+    /// @return false to close the connection; on_failed() follows with endpoint_error
+    virtual bool on_head(const response_head& head) = 0;
     /// @param body what has arrived and not been consumed; the sink may take from its front
     /// @return false to close the connection, without a further call
     virtual bool on_body(std::string& body) = 0;
@@ -88,6 +94,11 @@
     duration silence_timeout{10'000};
     duration idle_timeout{30'000};
     std::size_t max_idle_per_address = 64;
+    /// Time between two looks at the time bounds.
+    duration sweep_interval{100};
+    /// Time for which sent data may stay unacknowledged before the connection counts as broken, and after which a
+    /// silent peer machine is probed; 0: the system's, which is minutes.
+    duration unacknowledged_timeout{};
     /// False while the thread must not read, because the decision thread is behind.
     std::function<bool()> may_read = []
     {
--- a/libs/runtime/src/caller_connection.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_session.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "net.hpp" // tcp_socket
-
-#include <parsleyshift/core/clock.hpp> // time_point
-#include <parsleyshift/core/error.hpp> // error
-#include <parsleyshift/core/ids.hpp>   // request_id
+#include <parsleyshift/core/clock.hpp>  // time_point
+#include <parsleyshift/core/error.hpp>  // error
+#include <parsleyshift/core/ids.hpp>    // request_id
+#include <parsleyshift/runtime/net.hpp> // tcp_socket
 
 #include <boost/beast/core/flat_buffer.hpp> // flat_buffer
+#include <boost/beast/http/message.hpp>     // request
 #include <boost/beast/http/parser.hpp>      // request_parser
 #include <boost/beast/http/string_body.hpp> // string_body
 
@@ -18,29 +18,40 @@
 namespace parsleyshift
 {
 
-class caller_server;
+class http_server;
+
+using http_request = boost::beast::http::request<boost::beast::http::string_body>;
 
-/// @brief One connection of a caller: reads requests one after the other and writes their answers.
-class caller_connection : public std::enable_shared_from_this<caller_connection>
+/// @brief One connection of a caller: reads requests one after the other and writes the answers that a handler gives.
+class http_session : public std::enable_shared_from_this<http_session>
 {
   public:
-    caller_connection(tcp_socket socket, caller_server& server);
-    ~caller_connection();
-    caller_connection(const caller_connection&) = delete;
-    caller_connection& operator=(const caller_connection&) = delete;
-    caller_connection(caller_connection&&) = delete;
-    caller_connection& operator=(caller_connection&&) = delete;
+    http_session(tcp_socket socket, http_server& server);
+    ~http_session();
+    http_session(const http_session&) = delete;
+    http_session& operator=(const http_session&) = delete;
+    http_session(http_session&&) = delete;
+    http_session& operator=(http_session&&) = delete;
 
     /// @brief Begins or goes on reading from the socket.
     void read();
     /// @brief Writes a whole answer after what is already queued and ends the request.
     void answer(unsigned status, std::string_view content_type, std::string_view body);
+    /// @brief Queues a whole answer that the caller of this function has composed, head included, and ends the request.
+    void answer_raw(std::string_view head, std::string_view body);
+    /// @brief Begins a stream with a head of its own, which must name the chunked encoding.
+    void begin_stream(std::string_view head);
     /// @brief Text to which events of the stream are appended; the first use begins the stream.
     std::string& stream();
     /// @brief Reports a stall when the unsent text has reached the bound.
     void check_backlog();
     /// @brief Ends the stream and the request.
     void end_stream();
+    /// @brief Ends the request without its answer: what is queued is written, then the connection closes. An answer
+    /// that has begun does not look complete, since its last chunk is missing.
+    void cut();
+    /// @brief True when the connection stays open after the answer.
+    [[nodiscard]] bool keeps_alive() const noexcept;
     /// @brief Writes what is queued.
     void flush();
     /// @brief Closes connections that exceed a time bound.
@@ -50,6 +61,16 @@
     /// @brief Closes the connection at once; a request in progress is reported as disconnected.
     void disconnect();
 
+    /// @brief Id of the request in progress; 0 when it has none.
+    [[nodiscard]] request_id request() const noexcept
+    {
+        return request_;
+    }
+    /// @brief True when unsent text has reached the bound.
+    [[nodiscard]] bool stalled() const noexcept
+    {
+        return stalled_;
+    }
     /// @brief True between the arrival of a request and the end of its answer.
     [[nodiscard]] bool in_progress() const noexcept
     {
@@ -68,6 +89,8 @@
     }
 
   private:
+    friend class http_server;
+
     enum class state
     {
         /// Between requests, or while one arrives.
@@ -87,7 +110,7 @@
     bool reserve_body();
     void release_body();
     void take_request();
-    void reject(const error& why, unsigned status = 0);
+    void reject(const error& why, unsigned status);
     void end_request();
     void append_head(unsigned status, std::string_view content_type, std::size_t size, bool chunked);
     void seal_chunk();
@@ -97,7 +120,7 @@
     [[nodiscard]] std::size_t backlog() const noexcept;
 
     tcp_socket socket_;
-    caller_server& server_;
+    http_server& server_;
     boost::beast::flat_buffer input_;
     std::unique_ptr<parser> parser_;
     /// Text that is being written, and how much of it is.
--- a/libs/runtime/include/parsleyshift/runtime/metrics.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/metrics.hpp
@@ -43,6 +43,8 @@
     ring_to_endpoints,
     ring_to_peers,
     ring_to_platform,
+    /// Rises only.
+    log_lines_dropped,
 };
 
 template <>
@@ -59,7 +61,8 @@
         enum_name<level_quantity>{level_quantity::ring_to_callers, "ring_to_callers"},
         enum_name<level_quantity>{level_quantity::ring_to_endpoints, "ring_to_endpoints"},
         enum_name<level_quantity>{level_quantity::ring_to_peers, "ring_to_peers"},
-        enum_name<level_quantity>{level_quantity::ring_to_platform, "ring_to_platform"}};
+        enum_name<level_quantity>{level_quantity::ring_to_platform, "ring_to_platform"},
+        enum_name<level_quantity>{level_quantity::log_lines_dropped, "log_lines_dropped"}};
 };
 
 /// @brief The daemon's figures, in the text format of Prometheus. All threads.
--- a/libs/runtime/src/peer_network.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/peer_network.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net.hpp" // tcp_acceptor, steady_timer
+#include <parsleyshift/runtime/net.hpp> // tcp_acceptor, steady_timer
 
 #include <parsleyshift/messages/action.hpp>       // send_to_peer
 #include <parsleyshift/messages/peer.hpp>         // peer_envelope
--- a/libs/runtime/src/caller_server.cpp
+++ b/libs/runtime/src/caller_server.cpp
@@ -1,11 +1,9 @@
 #include "caller_server.hpp" // caller_server
 
-#include "caller_connection.hpp" // caller_connection
-#include "sha256.hpp"            // hex_sha256
+#include "sha256.hpp" // hex_sha256
 
 #include <parsleyshift/wire/caller_codec.hpp> // answer_body, append_event
 
-#include <algorithm>   // clamp, min
 #include <type_traits> // is_same_v
 #include <utility>     // move
 
@@ -14,10 +12,9 @@
 
 namespace
 {
-constexpr duration longest_sweep{500};
-constexpr duration shortest_sweep{10};
-constexpr duration finish_time{1'000};
-constexpr duration accept_retry{100};
+
+constexpr std::string_view json_type = "application/json";
+
 } // namespace
 
 caller_server::caller_server(asio::io_context& context, caller_server_options options, channel<inbound_event>& events,
@@ -26,9 +23,7 @@
       events_(events),
       metrics_(figures),
       metrics_text_(std::move(metrics_text)),
-      context_(context),
-      acceptor_(context),
-      sweep_timer_(context)
+      server_(context, {options_.address, "caller_address", options_.bounds, duration{}}, *this)
 {
     call_context_.bounds = {options_.bounds.max_body_bytes, options_.bounds.max_json_depth};
     if (!options_.operator_key.empty())
@@ -37,113 +32,105 @@
     }
 }
 
-caller_server::~caller_server() = default;
-
 result<void> caller_server::listen()
 {
-    BOOST_OUTCOME_TRY(listen_on(acceptor_, options_.address, "caller_address"));
-    accept();
-    schedule_sweep();
-    return boost::outcome_v2::success();
+    return server_.listen();
 }
 
 std::uint16_t caller_server::port() const
 {
-    return acceptor_.local_endpoint().port();
+    return server_.port();
 }
 
-void caller_server::accept()
+void caller_server::on_request(const std::shared_ptr<http_session>& session, http_request&& request)
 {
-    acceptor_.async_accept(
-        [this](const boost::system::error_code& failure, tcp_socket socket)
-        {
-            if (failure == asio::error::operation_aborted)
-            {
-                return;
-            }
-            const bool is_full = connections_.size() >= static_cast<std::size_t>(options_.bounds.max_connections);
-            if (!failure && is_full)
-            {
-                metrics_.count_malformed(input_source::caller, error_kind::queue_full);
-            }
-            else if (!failure)
-            {
-                boost::system::error_code ignored;
-                socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-                socket.non_blocking(true, ignored);
-                auto connection = std::make_shared<caller_connection>(std::move(socket), *this);
-                connections_.insert(connection);
-                metrics_.set(level_quantity::caller_connections, connections_.size());
-                connection->read();
-            }
-            else
-            {
-                // Out of descriptors: an immediate retry would spin until one is closed.
-                auto pause = std::make_shared<steady_timer>(context_, accept_retry);
-                pause->async_wait([this, pause](const boost::system::error_code&) { accept(); });
-                return;
-            }
-            accept();
-        });
+    const std::string_view key = presented_key(request[boost::beast::http::field::authorization]);
+    const std::string key_sha256 = key.empty() ? std::string{} : hex_sha256(key);
+    const caller_message call{request.method(), request.target(), request.body(), key_sha256};
+    auto routed = route_call(call, call_context_);
+    if (routed.has_error())
+    {
+        reject(*session, routed.error(), http_status(routed.error().kind));
+        session->flush();
+        return;
+    }
+    if (const auto* local = std::get_if<local_call>(&routed.value()))
+    {
+        answer_locally(*session, *local);
+        session->flush();
+        return;
+    }
+    event& what = std::get<event>(routed.value());
+    set_request(what, server_.enroll(session));
+    events_.send({std::move(what), key_sha256});
 }
 
-void caller_server::schedule_sweep()
+void caller_server::answer_locally(http_session& session, local_call call)
 {
-    const duration shortest = std::min(options_.bounds.request_timeout, options_.bounds.write_timeout);
-    sweep_timer_.expires_after(finished_ ? shortest_sweep : std::clamp(shortest / 4, shortest_sweep, longest_sweep));
-    sweep_timer_.async_wait(
-        [this](const boost::system::error_code& failure)
-        {
-            if (!failure)
-            {
-                sweep();
-            }
-        });
+    if (call == local_call::stop)
+    {
+        events_.send({stop_planned{}, {}});
+        session.answer(202, json_type, "{\"outcome\":\"completed\"}");
+        return;
+    }
+    session.answer(200, "text/plain; version=0.0.4", metrics_text_());
+}
+
+void caller_server::reject(http_session& session, const error& why, unsigned status)
+{
+    metrics_.count_malformed(input_source::caller, why.kind);
+    session.answer(status, json_type, answer_body(request_rejected{{}, outcome::not_run, why, 0, never}));
+}
+
+void caller_server::on_malformed(http_session& session, const error& why, unsigned status)
+{
+    constexpr unsigned timed_out = 408;
+    reject(session, why, status == timed_out ? timed_out : http_status(why.kind));
 }
 
-void caller_server::sweep()
+void caller_server::on_disconnected(request_id request)
 {
-    const time_point now = millisecond_clock::now();
-    // check_time() may remove a connection.
-    const std::vector<std::shared_ptr<caller_connection>> all(connections_.begin(), connections_.end());
-    for (const auto& connection : all)
+    events_.send({caller_disconnected{request}, {}});
+}
+
+void caller_server::on_stalled(request_id request, bool stalled)
+{
+    if (stalled)
     {
-        connection->check_time(now);
+        events_.send({caller_stalled{request}, {}});
     }
-    events_.announce();
-    if (finished_ && (connections_.empty() || now > finish_by_))
+    else
     {
-        std::exchange(finished_, [] {})();
-        return;
+        events_.send({caller_drained{request}, {}});
     }
-    schedule_sweep();
 }
 
-void caller_server::remove(const std::shared_ptr<caller_connection>& connection)
+bool caller_server::may_read() const
 {
-    connections_.erase(connection);
-    metrics_.set(level_quantity::caller_connections, connections_.size());
-    if (finished_ && connections_.empty())
-    {
-        std::exchange(finished_, [] {})();
-    }
+    return !events_.congested();
+}
+
+void caller_server::batch_done()
+{
+    events_.announce();
 }
 
-std::shared_ptr<caller_connection> caller_server::find(request_id request) const
+void caller_server::on_connections(std::size_t count)
 {
-    const auto found = requests_.find(request);
-    return found == requests_.end() ? nullptr : found->second;
+    metrics_.set(level_quantity::caller_connections, count);
 }
 
-void caller_server::complete(request_id request, unsigned status, std::string body)
+void caller_server::on_refused()
 {
-    if (const auto connection = find(request))
+    metrics_.count_malformed(input_source::caller, error_kind::queue_full);
+}
+
+void caller_server::complete(request_id request, unsigned status, const std::string& body)
+{
+    if (const auto session = server_.find(request))
     {
-        connection->answer(status, "application/json", body);
-        if (connection->mark_dirty())
-        {
-            dirty_.push_back(connection);
-        }
+        session->answer(status, json_type, body);
+        server_.touch(session);
     }
 }
 
@@ -151,7 +138,7 @@
 {
     const auto streamed = [this](const auto& message, bool ends)
     {
-        const auto connection = find(message.request);
+        const auto connection = server_.find(message.request);
         if (!connection)
         {
             return;
@@ -169,10 +156,7 @@
         {
             connection->end_stream();
         }
-        if (connection->mark_dirty())
-        {
-            dirty_.push_back(connection);
-        }
+        server_.touch(connection);
     };
     if (auto* started = std::get_if<stream_started>(&what))
     {
@@ -188,7 +172,7 @@
     }
     else if (auto* rejected = std::get_if<request_rejected>(&what))
     {
-        const auto connection = find(rejected->request);
+        const auto connection = server_.find(rejected->request);
         if (connection && connection->is_streaming())
         {
             streamed(*rejected, true);
@@ -200,7 +184,7 @@
     }
     else if (auto* view = std::get_if<operator_answer>(&what))
     {
-        complete(view->request, 200, std::move(view->json));
+        complete(view->request, 200, view->json);
     }
     else
     {
@@ -218,56 +202,20 @@
 
 void caller_server::flush()
 {
-    std::vector<std::shared_ptr<caller_connection>> dirty;
-    dirty.swap(dirty_);
-    for (const auto& connection : dirty)
-    {
-        connection->flush();
-        connection->check_backlog();
-    }
-    dirty.clear();
-    if (dirty_.empty())
-    {
-        // Keeps the capacity for the next batch.
-        dirty_.swap(dirty);
-    }
-    events_.announce();
+    server_.flush();
 }
 
 void caller_server::resume_reading()
 {
-    if (!events_.flush())
-    {
-        return;
-    }
-    std::vector<std::shared_ptr<caller_connection>> paused;
-    paused.swap(paused_);
-    for (const auto& connection : paused)
+    if (events_.flush())
     {
-        connection->read();
+        server_.resume_reading();
     }
 }
 
 void caller_server::finish(std::function<void()> done)
 {
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
-    finished_ = std::move(done);
-    finish_by_ = millisecond_clock::now() + finish_time;
-    const std::vector<std::shared_ptr<caller_connection>> all(connections_.begin(), connections_.end());
-    for (const auto& connection : all)
-    {
-        connection->finish();
-    }
-    if (connections_.empty())
-    {
-        std::exchange(finished_, [] {})();
-    }
-    else
-    {
-        sweep_timer_.expires_after(shortest_sweep);
-        sweep_timer_.async_wait([this](const boost::system::error_code&) { sweep(); });
-    }
+    server_.finish(std::move(done));
 }
 
 } // namespace parsleyshift
--- a/libs/runtime/src/caller_server.hpp
+++ b/libs/runtime/src/caller_server.hpp
@@ -1,27 +1,22 @@
 #pragma once
 
 #include "caller_route.hpp" // call_context
-#include "net.hpp"          // tcp_acceptor, steady_timer
 
 #include <parsleyshift/messages/action.hpp>       // action
 #include <parsleyshift/records/settings.hpp>      // caller_bounds
 #include <parsleyshift/runtime/channel.hpp>       // channel
+#include <parsleyshift/runtime/http_server.hpp>   // http_server
 #include <parsleyshift/runtime/inbound_event.hpp> // inbound_event
 #include <parsleyshift/runtime/metrics.hpp>       // metrics
 
-#include <cstdint>       // uint16_t
-#include <functional>    // function
-#include <memory>        // shared_ptr
-#include <string>        // string
-#include <unordered_map> // unordered_map
-#include <unordered_set> // unordered_set
-#include <vector>        // vector
+#include <cstdint>    // uint16_t
+#include <functional> // function
+#include <memory>     // shared_ptr
+#include <string>     // string
 
 namespace parsleyshift
 {
 
-class caller_connection;
-
 /// @brief Settings of the callers' HTTP server.
 struct caller_server_options
 {
@@ -33,18 +28,12 @@
 };
 
 /// @brief HTTP/1.1 server for callers and operators; all members run on the callers' I/O thread.
-class caller_server
+class caller_server : private http_handler
 {
   public:
     /// @param metrics_text makes the body of GET /metrics
     caller_server(asio::io_context& context, caller_server_options options, channel<inbound_event>& events,
                   metrics& figures, std::function<std::string()> metrics_text);
-    ~caller_server();
-    caller_server(const caller_server&) = delete;
-    caller_server& operator=(const caller_server&) = delete;
-    caller_server(caller_server&&) = delete;
-    caller_server& operator=(caller_server&&) = delete;
-
     /// @brief Binds the address and begins to accept. @return error invalid_field
     result<void> listen();
     [[nodiscard]] std::uint16_t port() const;
@@ -60,33 +49,24 @@
     void finish(std::function<void()> done);
 
   private:
-    friend class caller_connection;
-
-    void accept();
-    void sweep();
-    void schedule_sweep();
-    void remove(const std::shared_ptr<caller_connection>& connection);
-    /// The connection of a request in progress, or nullptr when it has closed.
-    std::shared_ptr<caller_connection> find(request_id request) const;
-    void complete(request_id request, unsigned status, std::string body);
+    void on_request(const std::shared_ptr<http_session>& session, http_request&& request) override;
+    void on_malformed(http_session& session, const error& why, unsigned status) override;
+    void on_disconnected(request_id request) override;
+    void on_stalled(request_id request, bool stalled) override;
+    [[nodiscard]] bool may_read() const override;
+    void batch_done() override;
+    void on_connections(std::size_t count) override;
+    void on_refused() override;
+    void answer_locally(http_session& session, local_call call);
+    void reject(http_session& session, const error& why, unsigned status);
+    void complete(request_id request, unsigned status, const std::string& body);
 
     caller_server_options options_;
     call_context call_context_;
     channel<inbound_event>& events_;
     metrics& metrics_;
     std::function<std::string()> metrics_text_;
-    asio::io_context& context_;
-    tcp_acceptor acceptor_;
-    steady_timer sweep_timer_;
-    std::unordered_set<std::shared_ptr<caller_connection>> connections_;
-    std::unordered_map<request_id, std::shared_ptr<caller_connection>> requests_;
-    std::vector<std::shared_ptr<caller_connection>> dirty_;
-    std::vector<std::shared_ptr<caller_connection>> paused_;
-    std::function<void()> finished_;
-    time_point finish_by_ = never;
-    request_id next_request_{1};
-    /// Bytes of request bodies that connections may receive now.
-    std::size_t reserved_body_bytes_ = 0;
+    http_server server_;
 };
 
 } // namespace parsleyshift
--- a/libs/runtime/src/daemon_io.cpp
+++ b/libs/runtime/src/daemon_io.cpp
@@ -1,10 +1,10 @@
 #include <parsleyshift/runtime/daemon_io.hpp> // daemon_io
 
-#include "caller_server.hpp"   // caller_server
-#include "endpoint_client.hpp" // endpoint_client
-#include "io_thread.hpp"       // io_thread
-#include "peer_network.hpp"    // peer_network
-#include "platform_client.hpp" // platform_client
+#include "caller_server.hpp"                     // caller_server
+#include "endpoint_client.hpp"                   // endpoint_client
+#include "io_thread.hpp"                         // io_thread
+#include "platform_client.hpp"                   // platform_client
+#include <parsleyshift/runtime/peer_network.hpp> // peer_network
 
 #include <parsleyshift/runtime/wakeup.hpp> // wakeup
 
@@ -86,6 +86,19 @@
 {
     return nowhere;
 }
+// Forwarded requests have a runtime of their own.
+constexpr std::size_t thread_of(const start_forward&)
+{
+    return nowhere;
+}
+constexpr std::size_t thread_of(const drop_forward&)
+{
+    return nowhere;
+}
+constexpr std::size_t thread_of(const deliver_forward&)
+{
+    return nowhere;
+}
 /// Everything else is an answer to a caller.
 template <class Answer>
 constexpr std::size_t thread_of(const Answer& answer) requires requires
--- a/libs/runtime/src/event_log.cpp
+++ b/libs/runtime/src/event_log.cpp
@@ -69,6 +69,17 @@
     logger_->set_level(spdlog::level::trace);
 }
 
+event_log::event_log(log_format format, std::string_view least, instance_id instance,
+                     std::shared_ptr<spdlog::sinks::sink> sink)
+    : format_(format),
+      least_(value_of<log_level>(least).value_or(log_level::info)),
+      instance_(std::move(instance)),
+      logger_(std::make_shared<spdlog::logger>("parsleyshift", std::move(sink)))
+{
+    logger_->set_pattern("%v");
+    logger_->set_level(spdlog::level::trace);
+}
+
 event_log::~event_log()
 {
     logger_->flush();
@@ -82,6 +93,11 @@
     }
 }
 
+void event_log::set_least(std::string_view least)
+{
+    least_ = value_of<log_level>(least).value_or(least_);
+}
+
 bool event_log::writes(log_level level) const noexcept
 {
     return level >= least_;
--- a/libs/runtime/src/generation_sink.cpp
+++ b/libs/runtime/src/generation_sink.cpp
@@ -34,13 +34,14 @@
     batch_.attempt = attempt;
 }
 
-void generation_sink::on_head(unsigned status)
+bool generation_sink::on_head(const response_head& head)
 {
-    status_ = status;
-    if (status == 200)
+    status_ = head.result_int();
+    if (status_ == 200)
     {
         client_.emit(attempt_started{attempt_});
     }
+    return true;
 }
 
 bool generation_sink::on_body(std::string& body)
--- a/libs/runtime/src/generation_sink.hpp
+++ b/libs/runtime/src/generation_sink.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http_client.hpp" // exchange_sink
+#include <parsleyshift/runtime/http_client.hpp> // exchange_sink
 
 #include <parsleyshift/core/ids.hpp>       // attempt_id
 #include <parsleyshift/messages/event.hpp> // attempt_tokens
@@ -21,7 +21,7 @@
     /// @param resumed the answer 404 then means that the engine does not know the attempt
     generation_sink(endpoint_client& client, attempt_id attempt, bool resumed);
 
-    void on_head(unsigned status) override;
+    bool on_head(const response_head& head) override;
     bool on_body(std::string& body) override;
     void on_done(std::string& body) override;
     void on_failed(attempt_failure failure, std::string message) override;
--- a/libs/runtime/src/http_client.cpp
+++ b/libs/runtime/src/http_client.cpp
@@ -1,4 +1,4 @@
-#include "http_client.hpp" // http_client
+#include <parsleyshift/runtime/http_client.hpp> // http_client
 
 #include "http_exchange.hpp" // http_exchange, http_connection
 
@@ -13,17 +13,16 @@
 namespace
 {
 
-constexpr duration sweep_interval{100};
-
 /// Collects a whole answer.
 class collecting_sink final : public exchange_sink
 {
   public:
     explicit collecting_sink(std::function<void(http_result)> done) : done_(std::move(done)) {}
 
-    void on_head(unsigned status) override
+    bool on_head(const response_head& head) override
     {
-        answer_.status = status;
+        answer_.status = head.result_int();
+        return true;
     }
     bool on_body(std::string& /*body*/) override
     {
@@ -136,14 +135,20 @@
     {
         return nullptr;
     }
-    auto connection = std::move(found->second.back());
-    found->second.pop_back();
-    if (found->second.empty())
+    const time_point now = millisecond_clock::now();
+    while (!found->second.empty())
     {
-        idle_.erase(found);
+        auto connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (now - connection->idle_since <= connection->idle_limit)
+        {
+            connection->reused = true;
+            return connection;
+        }
+        connection->close();
     }
-    connection->reused = true;
-    return connection;
+    idle_.erase(found);
+    return nullptr;
 }
 
 void http_client::keep(const std::shared_ptr<http_connection>& connection)
@@ -181,7 +186,7 @@
         return;
     }
     sweeping_ = true;
-    sweep_timer_.expires_after(sweep_interval);
+    sweep_timer_.expires_after(options_.sweep_interval);
     sweep_timer_.async_wait(
         [this](const boost::system::error_code& failure)
         {
@@ -205,7 +210,7 @@
     for (auto& [address, connections] : idle_)
     {
         // The oldest come first.
-        while (!connections.empty() && now - connections.front()->idle_since > options_.idle_timeout)
+        while (!connections.empty() && now - connections.front()->idle_since > connections.front()->idle_limit)
         {
             connections.front()->close();
             connections.erase(connections.begin());
--- a/libs/runtime/src/http_exchange.cpp
+++ b/libs/runtime/src/http_exchange.cpp
@@ -6,16 +6,51 @@
 #include <boost/beast/http/read.hpp>  // response_parser
 #include <boost/none.hpp>             // none
 
-#include <algorithm> // copy
-#include <utility>   // move
+#include <netinet/tcp.h> // TCP_USER_TIMEOUT
+#include <sys/socket.h>  // setsockopt
+
+#include <algorithm>   // copy, max, min
+#include <charconv>    // from_chars
+#include <chrono>      // seconds
+#include <optional>    // optional
+#include <string_view> // string_view
+#include <utility>     // move
 
 namespace parsleyshift
 {
 
 namespace http = boost::beast::http;
 
+namespace
+{
+
+/// A server closes an idle connection when the time that it has announced is over; by then it must not be used for a
+/// new request any more, which would be on its way for up to a round trip between regions.
+constexpr duration idle_margin{300};
+constexpr std::string_view timeout_parameter = "timeout=";
+
+/// Seconds of the timeout parameter of a Keep-Alive field, or nothing.
+std::optional<duration> announced_idle_time(std::string_view keep_alive)
+{
+    const auto at = keep_alive.find(timeout_parameter);
+    if (at == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    std::int64_t seconds = 0;
+    const char* first = keep_alive.data() + at + timeout_parameter.size();
+    const auto parsed = std::from_chars(first, keep_alive.data() + keep_alive.size(), seconds);
+    if (parsed.ec != std::errc{} || seconds < 0)
+    {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<duration>(std::chrono::seconds{std::min<std::int64_t>(seconds, 86'400)});
+}
+
+} // namespace
+
 http_connection::http_connection(asio::io_context& context, http_client& owner, std::string to)
-    : socket(context), client(owner), address(std::move(to))
+    : socket(context), client(owner), address(std::move(to)), idle_limit(owner.options_.idle_timeout)
 {
 }
 
@@ -111,10 +146,21 @@
 {
     auto& socket = connection_->socket;
     boost::system::error_code failure;
-    if (written_ == 0)
+    if (written_ == 0 && !connection_->reused)
     {
-        socket.set_option(asio::ip::tcp::no_delay(true), failure);
-        socket.non_blocking(true, failure);
+        prepare(socket);
+    }
+    if (!parser_)
+    {
+        parser_ = std::make_unique<parser>();
+        if (call_.body_limit)
+        {
+            parser_->body_limit(*call_.body_limit);
+        }
+        else
+        {
+            parser_->body_limit(boost::none);
+        }
     }
     while (written_ < call_.text.size())
     {
@@ -136,11 +182,14 @@
                                       self->client_.options_.batch_done();
                                   }
                               });
+            // A server may answer before it has read the whole request.
+            read();
             return;
         }
         if (failure && written_ == 0 && connection_->reused)
         {
             release(false);
+            parser_.reset();
             connect();
             return;
         }
@@ -153,21 +202,45 @@
     last_progress_ = millisecond_clock::now();
     // Prompts are long; the text is not needed any more.
     std::string{}.swap(call_.text);
-    parser_ = std::make_unique<parser>();
-    if (call_.body_limit)
+    written_ = 0;
+    sent_ = true;
+    read();
+}
+
+void http_exchange::prepare(tcp_socket& socket) const
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
+    const duration bound = client_.options_.unacknowledged_timeout;
+    if (bound <= duration{})
     {
-        parser_->body_limit(*call_.body_limit);
+        return;
     }
-    else
+    const auto milliseconds = static_cast<unsigned>(bound.count());
+    const int seconds = std::max(1, static_cast<int>(std::chrono::duration_cast<std::chrono::seconds>(bound).count()));
+    constexpr int probes = 2;
+    const int on = 1;
+    const int descriptor = socket.native_handle();
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+    setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &on, sizeof on);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
+void http_exchange::limit_idle_time()
+{
+    const auto field = parser_->get()[http::field::keep_alive];
+    if (const auto announced = announced_idle_time({field.data(), field.size()}))
     {
-        parser_->body_limit(boost::none);
+        connection_->idle_limit = std::min(connection_->idle_limit, *announced - idle_margin);
     }
-    read();
 }
 
 attempt_failure http_exchange::broken() const noexcept
 {
-    return written_ == 0 ? attempt_failure::connect_failed : attempt_failure::link_broken;
+    return written_ == 0 && !sent_ ? attempt_failure::connect_failed : attempt_failure::link_broken;
 }
 
 void http_exchange::read()
@@ -242,6 +315,8 @@
 bool http_exchange::feed_parser()
 {
     http_connection& from = *connection_;
+    // The sink may drop the exchange, and with it itself.
+    const auto sink = sink_;
     boost::system::error_code failure;
     parser_->eager(parser_->is_header_done());
     const std::size_t used = parser_->put(asio::buffer(from.input.data(), from.input_size), failure);
@@ -255,9 +330,14 @@
     if (parser_->is_header_done() && !head_reported_)
     {
         head_reported_ = true;
-        sink_->on_head(parser_->get().result_int());
+        limit_idle_time();
+        if (!sink->on_head(parser_->get().base()))
+        {
+            fail(attempt_failure::endpoint_error, "the answer does not belong to the request");
+            return false;
+        }
     }
-    if (!ended_ && head_reported_ && !parser_->get().body().empty() && !sink_->on_body(parser_->get().body()))
+    if (!ended_ && head_reported_ && !parser_->get().body().empty() && !sink->on_body(parser_->get().body()))
     {
         drop();
     }
@@ -284,7 +364,9 @@
 void http_exchange::complete()
 {
     const auto self = shared_from_this();
-    const bool keep = parser_->keep_alive() && connection_->input_size == 0;
+    // A server that answered early still expects the rest of the request.
+    const bool keep =
+        parser_->keep_alive() && connection_->input_size == 0 && sent_ && connection_->idle_limit > duration{};
     ended_ = true;
     client_.exchanges_.erase(self);
     release(keep);
--- a/libs/runtime/src/http_exchange.hpp
+++ b/libs/runtime/src/http_exchange.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http_client.hpp" // http_call, exchange_sink
+#include <parsleyshift/runtime/http_client.hpp> // http_call, exchange_sink
 
 #include <boost/beast/http/parser.hpp>      // response_parser
 #include <boost/beast/http/string_body.hpp> // string_body
@@ -30,6 +30,8 @@
     std::array<char, 4096> input{};
     std::size_t input_size = 0;
     time_point idle_since;
+    /// Time for which the connection may be idle before it is used again.
+    duration idle_limit;
     bool reused = false;
     bool read_pending = false;
 };
@@ -53,6 +55,8 @@
   private:
     void connect();
     void write();
+    void prepare(tcp_socket& socket) const;
+    void limit_idle_time();
     void on_input();
     bool feed_parser();
     void on_end_of_input();
@@ -69,6 +73,8 @@
     std::shared_ptr<http_connection> connection_;
     std::unique_ptr<parser> parser_;
     std::size_t written_ = 0;
+    /// The whole request has been written.
+    bool sent_ = false;
     time_point last_progress_;
     bool connecting_ = false;
     bool reading_enabled_ = true;
--- /dev/null
+++ b/libs/runtime/src/http_server.cpp
@@ -0,0 +1,209 @@
+#include <parsleyshift/runtime/http_server.hpp> // http_server
+
+#include <algorithm> // clamp, min
+#include <utility>   // exchange, move
+
+namespace parsleyshift
+{
+
+namespace
+{
+constexpr duration longest_sweep{500};
+constexpr duration shortest_sweep{10};
+constexpr duration finish_time{1'000};
+constexpr duration accept_retry{100};
+} // namespace
+
+http_server::http_server(asio::io_context& context, http_server_options options, http_handler& handler)
+    : options_(std::move(options)), handler_(handler), context_(context), acceptor_(context), sweep_timer_(context)
+{
+}
+
+http_server::~http_server() = default;
+
+result<void> http_server::listen()
+{
+    BOOST_OUTCOME_TRY(listen_on(acceptor_, options_.address, options_.what));
+    accept();
+    return boost::outcome_v2::success();
+}
+
+std::uint16_t http_server::port() const
+{
+    return acceptor_.local_endpoint().port();
+}
+
+void http_server::set_bounds(const caller_bounds& bounds, duration idle_timeout)
+{
+    options_.bounds = bounds;
+    options_.idle_timeout = idle_timeout;
+}
+
+void http_server::close_after_answers()
+{
+    closing_ = true;
+}
+
+void http_server::accept()
+{
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& failure, tcp_socket socket)
+        {
+            if (failure == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (failure)
+            {
+                accept_later();
+                return;
+            }
+            take(std::move(socket));
+            accept();
+        });
+}
+
+void http_server::take(tcp_socket socket)
+{
+    if (sessions_.size() >= static_cast<std::size_t>(options_.bounds.max_connections))
+    {
+        handler_.on_refused();
+        return;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
+    auto session = std::make_shared<http_session>(std::move(socket), *this);
+    sessions_.insert(session);
+    handler_.on_connections(sessions_.size());
+    session->read();
+    if (sessions_.size() == 1)
+    {
+        schedule_sweep();
+    }
+}
+
+void http_server::accept_later()
+{
+    // Out of descriptors: an immediate retry would spin until one is closed.
+    auto pause = std::make_shared<steady_timer>(context_, accept_retry);
+    pause->async_wait([this, pause](const boost::system::error_code&) { accept(); });
+}
+
+void http_server::schedule_sweep()
+{
+    const duration shortest = std::min(options_.bounds.request_timeout, options_.bounds.write_timeout);
+    sweep_timer_.expires_after(finished_ ? shortest_sweep : std::clamp(shortest / 4, shortest_sweep, longest_sweep));
+    sweep_timer_.async_wait(
+        [this](const boost::system::error_code& failure)
+        {
+            if (!failure)
+            {
+                sweep();
+            }
+        });
+}
+
+void http_server::sweep()
+{
+    const time_point now = millisecond_clock::now();
+    // check_time() may remove a session.
+    const std::vector<std::shared_ptr<http_session>> all(sessions_.begin(), sessions_.end());
+    for (const auto& session : all)
+    {
+        session->check_time(now);
+    }
+    handler_.batch_done();
+    if (finished_ && (sessions_.empty() || now > finish_by_))
+    {
+        std::exchange(finished_, [] {})();
+        return;
+    }
+    if (!sessions_.empty())
+    {
+        schedule_sweep();
+    }
+}
+
+void http_server::remove(const std::shared_ptr<http_session>& session)
+{
+    sessions_.erase(session);
+    handler_.on_connections(sessions_.size());
+    if (finished_ && sessions_.empty())
+    {
+        std::exchange(finished_, [] {})();
+    }
+}
+
+request_id http_server::enroll(const std::shared_ptr<http_session>& session)
+{
+    const request_id request = next_request_;
+    next_request_ = request.next();
+    session->request_ = request;
+    requests_.emplace(request, session);
+    return request;
+}
+
+std::shared_ptr<http_session> http_server::find(request_id request) const
+{
+    const auto found = requests_.find(request);
+    return found == requests_.end() ? nullptr : found->second;
+}
+
+void http_server::touch(const std::shared_ptr<http_session>& session)
+{
+    if (session->mark_dirty())
+    {
+        dirty_.push_back(session);
+    }
+}
+
+void http_server::flush()
+{
+    std::vector<std::shared_ptr<http_session>> dirty;
+    dirty.swap(dirty_);
+    for (const auto& session : dirty)
+    {
+        session->flush();
+        session->check_backlog();
+    }
+    dirty.clear();
+    if (dirty_.empty())
+    {
+        // Keeps the capacity for the next batch.
+        dirty_.swap(dirty);
+    }
+    handler_.batch_done();
+}
+
+void http_server::resume_reading()
+{
+    std::vector<std::shared_ptr<http_session>> paused;
+    paused.swap(paused_);
+    for (const auto& session : paused)
+    {
+        session->read();
+    }
+}
+
+void http_server::finish(std::function<void()> done)
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    finished_ = std::move(done);
+    finish_by_ = millisecond_clock::now() + finish_time;
+    const std::vector<std::shared_ptr<http_session>> all(sessions_.begin(), sessions_.end());
+    for (const auto& session : all)
+    {
+        session->finish();
+    }
+    if (sessions_.empty())
+    {
+        std::exchange(finished_, [] {})();
+        return;
+    }
+    sweep_timer_.expires_after(shortest_sweep);
+    sweep_timer_.async_wait([this](const boost::system::error_code&) { sweep(); });
+}
+
+} // namespace parsleyshift
--- a/libs/runtime/src/caller_connection.cpp
+++ b/libs/runtime/src/http_session.cpp
@@ -1,9 +1,6 @@
-#include "caller_connection.hpp" // caller_connection
+#include <parsleyshift/runtime/http_session.hpp> // http_session
 
-#include "caller_server.hpp" // caller_server
-#include "sha256.hpp"        // hex_sha256
-
-#include <parsleyshift/wire/caller_codec.hpp> // answer_body, http_status
+#include <parsleyshift/runtime/http_server.hpp> // http_server
 
 #include <boost/asio/buffer.hpp>              // buffer
 #include <boost/beast/core/buffers_range.hpp> // buffers_range_ref
@@ -37,29 +34,38 @@
 constexpr duration linger{2'000};
 // Hexadecimal size of a chunk with a fixed width, so that it can be filled in when the chunk is complete.
 constexpr std::string_view chunk_placeholder = "00000000\r\n";
-constexpr std::string_view json_type = "application/json";
 
 error_kind kind_of(const boost::system::error_code& failure)
 {
     return failure == http::error::body_limit ? error_kind::body_too_large : error_kind::malformed_request;
 }
 
+unsigned status_of(const boost::system::error_code& failure)
+{
+    if (failure == http::error::body_limit)
+    {
+        return static_cast<unsigned>(http::status::payload_too_large);
+    }
+    const bool is_head = failure == http::error::header_limit;
+    return static_cast<unsigned>(is_head ? http::status::request_header_fields_too_large : http::status::bad_request);
+}
+
 } // namespace
 
-caller_connection::caller_connection(tcp_socket socket, caller_server& server)
+http_session::http_session(tcp_socket socket, http_server& server)
     : socket_(std::move(socket)), server_(server), last_progress_(millisecond_clock::now())
 {
 }
 
-caller_connection::~caller_connection() = default;
+http_session::~http_session() = default;
 
-void caller_connection::read()
+void http_session::read()
 {
     if (read_pending_ || state_ == state::closed)
     {
         return;
     }
-    if (server_.events_.congested() && state_ == state::reading)
+    if (!server_.handler_.may_read() && state_ == state::reading)
     {
         server_.paused_.push_back(shared_from_this());
         return;
@@ -74,7 +80,7 @@
                             { self->on_read(failure, count); });
 }
 
-void caller_connection::on_read(const boost::system::error_code& failure, std::size_t size)
+void http_session::on_read(const boost::system::error_code& failure, std::size_t size)
 {
     read_pending_ = false;
     if (state_ == state::closed)
@@ -93,10 +99,10 @@
     }
     parse();
     read();
-    server_.events_.announce();
+    server_.handler_.batch_done();
 }
 
-void caller_connection::parse()
+void http_session::parse()
 {
     // The next request waits until the answer to the last one is written, so that answers cannot pile up.
     while (state_ == state::reading && input_.size() > 0 && output_.empty() && !write_pending_)
@@ -108,7 +114,7 @@
     }
 }
 
-bool caller_connection::feed_parser()
+bool http_session::feed_parser()
 {
     const auto& bounds = server_.options_.bounds;
     if (!parser_)
@@ -124,7 +130,7 @@
     input_.consume(used);
     if (failure && failure != http::error::need_more)
     {
-        reject(make_error(kind_of(failure), "HTTP: " + failure.message()));
+        reject(make_error(kind_of(failure), "HTTP: " + failure.message()), status_of(failure));
         return false;
     }
     if (parser_->is_header_done() && !reserve_body())
@@ -141,7 +147,7 @@
     return used > 0 && !failure;
 }
 
-bool caller_connection::reserve_body()
+bool http_session::reserve_body()
 {
     if (reserved_body_ > 0 || parser_->is_done())
     {
@@ -151,7 +157,8 @@
     const std::size_t wanted = length ? static_cast<std::size_t>(*length) : server_.options_.bounds.max_body_bytes;
     if (server_.reserved_body_bytes_ + wanted > max_body_bytes_in_arrival)
     {
-        reject(make_error(error_kind::queue_full, "body: too many bodies are arriving", duration{1000}));
+        reject(make_error(error_kind::queue_full, "body: too many bodies are arriving", duration{1000}),
+               static_cast<unsigned>(http::status::service_unavailable));
         return false;
     }
     reserved_body_ = wanted;
@@ -166,15 +173,15 @@
     return true;
 }
 
-void caller_connection::release_body()
+void http_session::release_body()
 {
     server_.reserved_body_bytes_ -= reserved_body_;
     reserved_body_ = 0;
 }
 
-void caller_connection::take_request()
+void http_session::take_request()
 {
-    const auto message = parser_->release();
+    http_request message = parser_->release();
     parser_.reset();
     release_body();
     if (input_.capacity() > kept_capacity)
@@ -183,61 +190,54 @@
     }
     keep_alive_ = message.keep_alive();
     chunked_ = message.version() >= 11;
-    const std::string_view key = presented_key(message[http::field::authorization]);
-    const std::string key_sha256 = key.empty() ? std::string{} : hex_sha256(key);
-    const caller_message call{message.method(), message.target(), message.body(), key_sha256};
-    auto routed = route_call(call, server_.call_context_);
     state_ = state::waiting;
-    if (routed.has_error())
-    {
-        const error& why = routed.error();
-        server_.metrics_.count_malformed(input_source::caller, why.kind);
-        answer(http_status(why.kind), json_type, answer_body(request_rejected{{}, outcome::not_run, why, 0, never}));
-        flush();
-        return;
-    }
-    if (const auto* local = std::get_if<local_call>(&routed.value()))
-    {
-        if (*local == local_call::stop)
-        {
-            server_.events_.send({stop_planned{}, {}});
-            answer(202, json_type, "{\"outcome\":\"completed\"}");
-        }
-        else
-        {
-            answer(200, "text/plain; version=0.0.4", server_.metrics_text_());
-        }
-        flush();
-        return;
-    }
-    request_ = server_.next_request_;
-    server_.next_request_ = request_.next();
-    server_.requests_.emplace(request_, shared_from_this());
-    event& what = std::get<event>(routed.value());
-    set_request(what, request_);
-    server_.events_.send({std::move(what), key_sha256});
+    server_.handler_.on_request(shared_from_this(), std::move(message));
 }
 
-void caller_connection::reject(const error& why, unsigned status)
+void http_session::reject(const error& why, unsigned status)
 {
-    server_.metrics_.count_malformed(input_source::caller, why.kind);
     parser_.reset();
     release_body();
     keep_alive_ = false;
     state_ = state::waiting;
-    answer(status != 0 ? status : http_status(why.kind), json_type,
-           answer_body(request_rejected{{}, outcome::not_run, why, 0, never}));
+    server_.handler_.on_malformed(*this, why, status);
     flush();
 }
 
-void caller_connection::answer(unsigned status, std::string_view content_type, std::string_view body)
+bool http_session::keeps_alive() const noexcept
+{
+    return keep_alive_ && !server_.finished_ && !server_.closing_;
+}
+
+void http_session::answer_raw(std::string_view head, std::string_view body)
+{
+    output_ += head;
+    output_ += body;
+    end_request();
+}
+
+void http_session::begin_stream(std::string_view head)
+{
+    output_ += head;
+    chunked_ = true;
+    state_ = state::streaming;
+}
+
+void http_session::cut()
+{
+    seal_chunk();
+    keep_alive_ = false;
+    end_request();
+}
+
+void http_session::answer(unsigned status, std::string_view content_type, std::string_view body)
 {
     append_head(status, content_type, body.size(), false);
     output_ += body;
     end_request();
 }
 
-std::string& caller_connection::stream()
+std::string& http_session::stream()
 {
     if (state_ != state::streaming)
     {
@@ -253,7 +253,7 @@
     return output_;
 }
 
-void caller_connection::end_stream()
+void http_session::end_stream()
 {
     seal_chunk();
     if (chunked_)
@@ -263,7 +263,7 @@
     end_request();
 }
 
-void caller_connection::end_request()
+void http_session::end_request()
 {
     if (request_ != request_id{})
     {
@@ -271,15 +271,15 @@
         request_ = request_id{};
     }
     stalled_ = false;
-    state_ = keep_alive_ && !server_.finished_ ? state::reading : state::closing;
+    state_ = keeps_alive() ? state::reading : state::closing;
 }
 
-void caller_connection::append_head(unsigned status, std::string_view content_type, std::size_t size, bool chunked)
+void http_session::append_head(unsigned status, std::string_view content_type, std::size_t size, bool chunked)
 {
     http::response<http::empty_body> head;
     head.result(status);
     head.set(http::field::content_type, boost::beast::string_view(content_type.data(), content_type.size()));
-    head.keep_alive(keep_alive_);
+    head.keep_alive(keeps_alive());
     if (chunked)
     {
         head.set(http::field::cache_control, "no-store");
@@ -303,7 +303,7 @@
                     });
 }
 
-void caller_connection::seal_chunk()
+void http_session::seal_chunk()
 {
     if (chunk_ == std::string::npos)
     {
@@ -319,18 +319,18 @@
     chunk_ = std::string::npos;
 }
 
-std::size_t caller_connection::backlog() const noexcept
+std::size_t http_session::backlog() const noexcept
 {
     return output_.size() + writing_.size() - written_;
 }
 
-void caller_connection::check_backlog()
+void http_session::check_backlog()
 {
     const std::size_t bound = server_.options_.bounds.max_backlog_bytes;
     if (!stalled_ && state_ == state::streaming && backlog() >= bound)
     {
         stalled_ = true;
-        server_.events_.send({caller_stalled{request_}, {}});
+        server_.handler_.on_stalled(request_, true);
     }
     if (backlog() >= bound * backlog_limit_factor)
     {
@@ -338,9 +338,15 @@
     }
 }
 
-void caller_connection::flush()
+void http_session::flush()
 {
     dirty_ = false;
+    if (state_ == state::closing && output_.empty() && !write_pending_)
+    {
+        // Cut before anything was written.
+        output_written();
+        return;
+    }
     if (write_pending_ || output_.empty() || state_ == state::closed)
     {
         return;
@@ -352,7 +358,7 @@
     write_some();
 }
 
-void caller_connection::write_some()
+void http_session::write_some()
 {
     write_pending_ = true;
     const auto rest = asio::buffer(writing_.data() + written_, writing_.size() - written_);
@@ -360,7 +366,7 @@
                              { self->on_written(failure, count); });
 }
 
-void caller_connection::on_written(const boost::system::error_code& failure, std::size_t size)
+void http_session::on_written(const boost::system::error_code& failure, std::size_t size)
 {
     write_pending_ = false;
     if (state_ == state::closed)
@@ -391,10 +397,10 @@
         return;
     }
     output_written();
-    server_.events_.announce();
+    server_.handler_.batch_done();
 }
 
-void caller_connection::output_written()
+void http_session::output_written()
 {
     if (output_.capacity() > kept_capacity)
     {
@@ -403,7 +409,7 @@
     if (stalled_)
     {
         stalled_ = false;
-        server_.events_.send({caller_drained{request_}, {}});
+        server_.handler_.on_stalled(request_, false);
     }
     if (state_ == state::closing)
     {
@@ -422,7 +428,7 @@
     read();
 }
 
-void caller_connection::finish()
+void http_session::finish()
 {
     keep_alive_ = false;
     const bool has_output = write_pending_ || !output_.empty();
@@ -436,24 +442,27 @@
     }
 }
 
-void caller_connection::check_time(time_point now)
+void http_session::check_time(time_point now)
 {
     const auto& bounds = server_.options_.bounds;
     const duration quiet = now - last_progress_;
     const bool stuck = write_pending_ && quiet > bounds.write_timeout;
     const bool lingers = state_ == state::closing && !write_pending_ && quiet > linger;
-    const bool idle = state_ == state::reading && !parser_ && quiet > bounds.request_timeout * idle_factor;
+    const duration idle_timeout = server_.options_.idle_timeout > duration{} ? server_.options_.idle_timeout
+                                                                             : bounds.request_timeout * idle_factor;
+    const bool idle = state_ == state::reading && !parser_ && quiet > idle_timeout;
     if (stuck || lingers || idle)
     {
         disconnect();
     }
     else if (state_ == state::reading && parser_ && now - request_began_ > bounds.request_timeout)
     {
-        reject(make_error(error_kind::malformed_request, "HTTP: the request did not arrive in time"), 408);
+        reject(make_error(error_kind::malformed_request, "HTTP: the request did not arrive in time"),
+               static_cast<unsigned>(http::status::request_timeout));
     }
 }
 
-void caller_connection::disconnect()
+void http_session::disconnect()
 {
     if (state_ == state::closed)
     {
@@ -463,8 +472,8 @@
     release_body();
     if (request_ != request_id{})
     {
-        server_.events_.send({caller_disconnected{request_}, {}});
         server_.requests_.erase(request_);
+        server_.handler_.on_disconnected(request_);
     }
     boost::system::error_code ignored;
     socket_.close(ignored);
--- a/libs/runtime/src/io_thread.hpp
+++ b/libs/runtime/src/io_thread.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net.hpp" // io_context
+#include <parsleyshift/runtime/net.hpp> // io_context
 
 #include <parsleyshift/runtime/channel.hpp>       // channel
 #include <parsleyshift/runtime/event_log.hpp>     // event_log
--- a/libs/runtime/src/net.cpp
+++ b/libs/runtime/src/net.cpp
@@ -1,4 +1,4 @@
-#include "net.hpp" // parse_address, listen_on
+#include <parsleyshift/runtime/net.hpp> // parse_address, listen_on
 
 #include <boost/asio/ip/address.hpp> // make_address
 
--- a/libs/runtime/src/peer_link.cpp
+++ b/libs/runtime/src/peer_link.cpp
@@ -1,6 +1,6 @@
 #include "peer_link.hpp" // peer_link, peer_session
 
-#include "peer_network.hpp" // peer_network
+#include <parsleyshift/runtime/peer_network.hpp> // peer_network
 
 #include <boost/asio/buffer.hpp> // buffer
 #include <boost/asio/read.hpp>   // async_read
--- a/libs/runtime/src/peer_link.hpp
+++ b/libs/runtime/src/peer_link.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net.hpp" // tcp_socket
+#include <parsleyshift/runtime/net.hpp> // tcp_socket
 
 #include <parsleyshift/core/clock.hpp>      // time_point
 #include <parsleyshift/wire/peer_codec.hpp> // frame_header_bytes
--- a/libs/runtime/src/peer_network.cpp
+++ b/libs/runtime/src/peer_network.cpp
@@ -1,4 +1,4 @@
-#include "peer_network.hpp" // peer_network
+#include <parsleyshift/runtime/peer_network.hpp> // peer_network
 
 #include "peer_link.hpp" // peer_link, peer_session
 
--- a/libs/runtime/src/platform_client.hpp
+++ b/libs/runtime/src/platform_client.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "http_client.hpp" // http_client
-#include "net.hpp"         // steady_timer
+#include <parsleyshift/runtime/http_client.hpp> // http_client
+#include <parsleyshift/runtime/net.hpp>         // steady_timer
 
 #include <parsleyshift/messages/action.hpp>       // read_configuration
 #include <parsleyshift/runtime/channel.hpp>       // channel
--- a/libs/wire/src/caller_codec.cpp
+++ b/libs/wire/src/caller_codec.cpp
@@ -1,7 +1,7 @@
 #include <parsleyshift/wire/caller_codec.hpp> // parse_generation, append_event, answer_body
 
-#include "bounded_json.hpp" // read_bounded_json
-#include "field_reader.hpp" // field_reader
+#include "bounded_json.hpp"                   // read_bounded_json
+#include <parsleyshift/wire/field_reader.hpp> // field_reader
 
 #include <parsleyshift/wire/json_string.hpp> // append_json_string
 
--- a/libs/wire/src/endpoint_codec.cpp
+++ b/libs/wire/src/endpoint_codec.cpp
@@ -1,7 +1,7 @@
 #include <parsleyshift/wire/endpoint_codec.hpp> // generation_body, parse_load
 
-#include "bounded_json.hpp" // read_bounded_json
-#include "field_reader.hpp" // field_reader
+#include "bounded_json.hpp"                   // read_bounded_json
+#include <parsleyshift/wire/field_reader.hpp> // field_reader
 
 #include <parsleyshift/wire/json_string.hpp> // append_json_string
 
--- a/libs/wire/src/field_reader.cpp
+++ b/libs/wire/src/field_reader.cpp
@@ -1,4 +1,4 @@
-#include "field_reader.hpp" // field_reader
+#include <parsleyshift/wire/field_reader.hpp> // field_reader
 
 #include <algorithm> // any_of, find
 
--- a/libs/wire/src/platform_codec.cpp
+++ b/libs/wire/src/platform_codec.cpp
@@ -1,7 +1,7 @@
 #include <parsleyshift/wire/platform_codec.hpp> // parse_records, parse_instances
 
-#include "bounded_json.hpp" // read_bounded_json
-#include "field_reader.hpp" // field_reader
+#include "bounded_json.hpp"                   // read_bounded_json
+#include <parsleyshift/wire/field_reader.hpp> // field_reader
 
 #include <nlohmann/json.hpp> // json
 
