--- a/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
@@ -72,6 +72,8 @@
     double start_share = 0.75;
     /// Time between two looks at streams that may have gone silent.
     duration silence_check{500};
+    /// Time for which the last events of a run that has stopped to move may still arrive.
+    duration last_events_wait{300};
     /// A planned stop ends once no request has come for `stop_quiet`, but not before `stop_least`: callers keep an
     /// entry answer of `entry_keep` up to three times as long.
     duration stop_quiet{1'500};
--- a/libs/decision_core/src/forward.cpp
+++ b/libs/decision_core/src/forward.cpp
@@ -72,6 +72,7 @@
     work.work_class = admitted_.work_class;
     work.prompt_tokens = asked_.prompt_tokens;
     work.max_tokens = asked_.max_tokens;
+    work.expected_tokens = asked_.expected_tokens;
     work.prefixes = asked_.prefixes;
     work.start_by = std::min(deadline_, arrived_ + start_within);
     return work;
@@ -111,6 +112,11 @@
 
 void forward::permitted(const permit_grant& grant, bool from_scheduler)
 {
+    if (can_move_to(grant))
+    {
+        begin_move(grant);
+        return;
+    }
     if (permit_ && permit_->take(grant, from_scheduler))
     {
         start_attempt(grant.endpoint);
@@ -142,7 +148,14 @@
     ++attempts_;
     ++runs_;
     endpoint_ = endpoint;
+    address_ = entry->address;
     tried_.push_back(endpoint);
+    send_attempt(std::nullopt);
+    state_.emit(observe{observed::queue_ms, admitted_.work_class, admitted_.customer, (state_.now - arrived_).count()});
+}
+
+void forward::send_attempt(std::optional<run_continuation> continuation)
+{
     attempt_ = state_.next_attempt(attempt_owner::forward, asked_.request);
     attempt_began_ = state_.now;
     last_progress_ = state_.now;
@@ -158,17 +171,18 @@
     start.attempt = attempt_;
     start.request = asked_.request;
     start.endpoint = endpoint_;
-    start.address = entry->address;
+    start.address = address_;
     start.customer = admitted_.customer;
     start.priority = admitted_.priority;
     start.kind = admitted_.where.kind;
-    start.not_after = std::min(deadline_, admitted_.key_valid_until);
+    // A run that goes on elsewhere was sent while its key was valid.
+    start.not_after = continuation ? deadline_ : std::min(deadline_, admitted_.key_valid_until);
     start.deadline = deadline_;
+    start.continuation = std::move(continuation);
     state_.emit(std::move(start));
-    state_.log(log_event::request_sent, "id=" + asked_.caller_id + " endpoint=" + endpoint_.value() +
-                                            " attempt=" + std::to_string(attempts_) +
+    state_.log(log_event::request_sent, "id=" + asked_.caller_id + " endpoint=" + endpoint_.value() + " attempt=" +
+                                            std::to_string(attempts_) + " moves=" + std::to_string(moves_) +
                                             " waited_ms=" + std::to_string((state_.now - arrived_).count()));
-    state_.emit(observe{observed::queue_ms, admitted_.work_class, admitted_.customer, (state_.now - arrived_).count()});
 }
 
 void forward::end_attempt(run_end how, bool completed)
@@ -178,17 +192,127 @@
         return;
     }
     state_.attempt_over(attempt_, endpoint_, memory_, how);
+    if (move_)
+    {
+        permit_->decline(move_->to);
+    }
     if (permit_)
     {
         pools_.attempt_ended(permit_->pool(), endpoint_, memory_);
         permit_->give_back(tokens(), completed);
     }
     attempt_ = attempt_id{};
+    move_.reset();
+}
+
+bool forward::can_move_to(const permit_grant& grant) const
+{
+    const endpoint_entry* entry = state_.directory.find(grant.endpoint);
+    const bool has_run = permit_ && permit_->permit() && attempt_ != attempt_id{};
+    const bool is_other = has_run && grant.endpoint != endpoint_ && permit_->permit()->permit != grant.permit;
+    return is_other && !move_ && admitted_.engine->moves_runs && entry != nullptr && !entry->leaving;
+}
+
+void forward::begin_move(const permit_grant& grant)
+{
+    move_.emplace();
+    move_->to = grant;
+    move_->source = address_;
+    move_->destination = state_.directory.find(grant.endpoint)->address;
+    state_.log(log_event::run_moving, "id=" + asked_.caller_id + " from=" + endpoint_.value() +
+                                          " to=" + grant.endpoint.value() + " events=" + std::to_string(events_));
+    state_.emit(copy_run{attempt_, asked_.request, move_->source, move_->destination, false});
+}
+
+void forward::end_move()
+{
+    if (move_)
+    {
+        permit_->decline(move_->to);
+        move_.reset();
+    }
+}
+
+void forward::copied(const run_copied& copy)
+{
+    if (!move_)
+    {
+        return;
+    }
+    if (copy.result == copy_result::complete && !move_->stopping)
+    {
+        move_->stopping = true;
+        state_.emit(copy_run{attempt_, asked_.request, move_->source, move_->destination, true});
+        return;
+    }
+    const bool has_stopped = copy.result == copy_result::complete || copy.result == copy_result::stopped_in_place;
+    if (!has_stopped)
+    {
+        state_.log(log_event::run_moving, "id=" + asked_.caller_id + " stays at " + endpoint_.value() + ": " +
+                                              std::string{name_of(copy.result)});
+        const bool lost = move_->stream_ended;
+        end_move();
+        if (lost)
+        {
+            attempt_failed(attempt_failure::link_broken, "the stream ended while its run moved");
+        }
+        return;
+    }
+    move_->stopped = true;
+    move_->in_place = copy.result == copy_result::stopped_in_place;
+    move_->handle = copy.handle;
+    move_->events = copy.events;
+    add_timer(timer_kind::resume_due, state_.settings.forwarding.last_events_wait, static_cast<std::uint64_t>(moves_));
+    go_on_if_stopped();
+}
+
+void forward::go_on_if_stopped()
+{
+    // The events that the run has made before it stopped may still be on their way.
+    if (move_ && move_->stopped && (move_->stream_ended || events_ >= move_->events))
+    {
+        go_on();
+    }
+}
+
+void forward::go_on()
+{
+    const move moved = std::move(*move_);
+    move_.reset();
+    ++moves_;
+    state_.emit(drop_forward{attempt_});
+    state_.attempt_over(attempt_, endpoint_, memory_, run_end::stopped);
+    pools_.attempt_ended(permit_->pool(), endpoint_, memory_);
+    if (moved.in_place)
+    {
+        permit_->decline(moved.to);
+    }
+    else
+    {
+        permit_->replace(moved.to, tokens());
+        endpoint_ = moved.to.endpoint;
+        address_ = moved.destination;
+        tried_.push_back(endpoint_);
+    }
+    send_attempt(run_continuation{moved.source, moved.handle, {}});
 }
 
 void forward::answered(const forward_answered& answer)
 {
     tracker_.attempt_ran();
+    if (delivered_)
+    {
+        // The stream of a run that goes on here.
+        last_progress_ = state_.now;
+        if (answer.sign == answer_sign::success && !answer.whole)
+        {
+            state_.emit(deliver_forward{asked_.request, attempt_});
+            return;
+        }
+        give_up(
+            make_error(error_kind::incomplete_answer, "endpoint " + endpoint_.value() + " did not go on with a run"));
+        return;
+    }
     first_answer_ = state_.now - attempt_began_;
     last_progress_ = state_.now;
     state_.health.first_token(endpoint_, first_answer_, state_.now);
@@ -224,12 +348,15 @@
 {
     if (events_ > 0)
     {
-        const duration gap = state_.now - last_progress_;
+        const duration gap = state_.now - last_event_;
+        longest_gap_ = std::max(longest_gap_, gap);
         state_.health.token_gap(endpoint_, gap, state_.now);
         state_.emit(observe{observed::token_gap_ms, admitted_.work_class, admitted_.customer, gap.count()});
     }
     events_ = events;
+    last_event_ = state_.now;
     last_progress_ = state_.now;
+    go_on_if_stopped();
 }
 
 void forward::completed(std::int64_t events)
@@ -256,6 +383,13 @@
 
 void forward::attempt_failed(attempt_failure failure, const std::string& message)
 {
+    if (move_ && move_->stopping && failure == attempt_failure::link_broken)
+    {
+        // A run that stops to move ends its stream without an end mark.
+        move_->stream_ended = true;
+        go_on_if_stopped();
+        return;
+    }
     tracker_.attempt_failed(failure);
     runs_ -= proves_not_run(failure) ? 1 : 0;
     end_attempt(end_of(failure), false);
@@ -325,6 +459,12 @@
             add_timer(timer_kind::renew_permit, state_.settings.requests.permit_renewal, due.step);
         }
         break;
+    case timer_kind::resume_due:
+        if (move_ && move_->stopped && due.step == static_cast<std::uint64_t>(moves_))
+        {
+            go_on();
+        }
+        break;
     case timer_kind::next_attempt:
         if (due.step == step_ && attempt_ == attempt_id{})
         {
@@ -421,13 +561,14 @@
 
 void forward::log_end(outcome what, const std::optional<error>& why)
 {
-    std::string line = "id=" + asked_.caller_id + " route=" + admitted_.where.name +
-                       " service=" + admitted_.service.value() + " customer=" + admitted_.customer.value() +
-                       " config=" + std::to_string(admitted_.version) +
-                       " config_age_ms=" + std::to_string(admitted_.configuration_age.count()) +
-                       " endpoint=" + endpoint_.value() + " attempts=" + std::to_string(attempts_) +
-                       " first_ms=" + std::to_string(first_answer_.count()) + " events=" + std::to_string(events_) +
-                       " took_ms=" + std::to_string((state_.now - arrived_).count()) + " outcome=";
+    std::string line =
+        "id=" + asked_.caller_id + " route=" + admitted_.where.name + " service=" + admitted_.service.value() +
+        " customer=" + admitted_.customer.value() + " config=" + std::to_string(admitted_.version) +
+        " config_age_ms=" + std::to_string(admitted_.configuration_age.count()) + " endpoint=" + endpoint_.value() +
+        " attempts=" + std::to_string(attempts_) + " moves=" + std::to_string(moves_) +
+        " first_ms=" + std::to_string(first_answer_.count()) + " events=" + std::to_string(events_) +
+        " longest_gap_ms=" + std::to_string(longest_gap_.count()) +
+        " took_ms=" + std::to_string((state_.now - arrived_).count()) + " outcome=";
     line += name_of(what);
     if (why)
     {
--- a/libs/decision_core/src/forward.hpp
+++ b/libs/decision_core/src/forward.hpp
@@ -46,6 +46,7 @@
     void answered(const forward_answered& answer);
     void progressed(std::int64_t events);
     void completed(std::int64_t events);
+    void copied(const run_copied& copy);
     void attempt_failed(attempt_failure failure, const std::string& message);
     void timer(const core_timer& due);
     void caller_gone();
@@ -63,6 +64,29 @@
     }
 
   private:
+    /// A run on its way to another engine.
+    struct move
+    {
+        permit_grant to;
+        std::string source;
+        std::string destination;
+        /// The run has been asked to stop; its stream ends without an end mark.
+        bool stopping = false;
+        bool stopped = false;
+        bool stream_ended = false;
+        /// The engine where the run was goes on with it, since the other one does not hold all of it.
+        bool in_place = false;
+        std::string handle;
+        std::int64_t events = 0;
+    };
+
+    [[nodiscard]] bool can_move_to(const permit_grant& grant) const;
+    void begin_move(const permit_grant& grant);
+    void end_move();
+    void go_on_if_stopped();
+    void go_on();
+    void send_attempt(std::optional<run_continuation> continuation);
+
     [[nodiscard]] bool is_stream() const noexcept
     {
         return admitted_.where.kind == route_kind::stream;
@@ -93,6 +117,10 @@
     /// The attempt in progress; number 0 when there is none.
     attempt_id attempt_;
     endpoint_id endpoint_;
+    /// Of the endpoint, which may have left the list.
+    std::string address_;
+    std::optional<move> move_;
+    int moves_ = 0;
     std::int64_t memory_ = 0;
     int attempts_ = 0;
     /// Attempts that are not proven not to have run.
@@ -105,6 +133,8 @@
     time_point deadline_;
     time_point attempt_began_;
     time_point last_progress_;
+    time_point last_event_;
+    duration longest_gap_{};
     duration first_answer_{};
 };
 
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -5,7 +5,10 @@
 #include "lapse_filter.hpp"    // lapse_filter
 #include "pool_manager.hpp"    // pool_manager
 
-#include <algorithm> // max, min
+#include <parsleyshift/core/hash.hpp> // rendezvous_score
+
+#include <algorithm> // count_if, max, min
+#include <cstddef>   // ptrdiff_t
 #include <utility>   // exchange, move
 #include <variant>   // visit
 
@@ -24,6 +27,8 @@
 {
     settings.scheduling.permit_lifetime = duration{6'000};
     settings.scheduling.slow_start = duration{300};
+    // Engines that read 14 tokens of a prompt in a millisecond read half as fast beside the output of others.
+    settings.scheduling.prompt_tokens_per_ms = 7.0;
     settings.requests.permit_renewal = duration{2'000};
     // Shares of 0.1 of the successes and 2 saved retries at each instance stay below a fleet-wide bound of 0.2 and 5
     // for each instance.
@@ -45,6 +50,7 @@
           forwards_(state_, pools_),
           lapses_(state_.settings.forwarding.lapse_grace)
     {
+        pools_.enable_moves();
         set_hints(std::move(hints));
     }
 
@@ -111,6 +117,10 @@
     {
         forwards_.with(completed.attempt, [&](detail::forward& active) { active.completed(completed.events); });
     }
+    void on(const run_copied& copy)
+    {
+        forwards_.with(copy.attempt, [&](detail::forward& active) { active.copied(copy); });
+    }
     void on(const attempt_failed& failed)
     {
         forwards_.with(failed.attempt,
@@ -135,6 +145,7 @@
                    "version=" + std::to_string(configured.configuration.version) +
                        " routes=" + std::to_string(configured.configuration.routes.size()) +
                        " customers=" + std::to_string(configured.configuration.customers.size()));
+        apply_list(lapses_.in_force());
         set_capacities();
     }
     void on(const configuration_confirmed& confirmed)
@@ -214,7 +225,9 @@
 
     void apply_list(const instances_listed& list)
     {
-        const directory_change change = state_.take_list(list);
+        instances_listed pooled = list;
+        pool_engines(pooled.instances);
+        const directory_change change = state_.take_list(pooled);
         if (change.added.empty() && change.removed.empty() && change.leaving.empty())
         {
             return;
@@ -227,6 +240,38 @@
         set_capacities();
         topology_changed_ = true;
     }
+    /// All engines of a service form one pool: a region alone has too few to take the runs of engines that leave, and a
+    /// permit from another region takes 60 ms of the second that a first event may take. Plain services have no
+    /// schedulers and keep their regions.
+    void pool_engines(std::vector<listed_instance>& listed) const
+    {
+        for (listed_instance& row : listed)
+        {
+            const forwarding_service* service = forwards_.routes() ? forwards_.routes()->service(row.service) : nullptr;
+            if (service != nullptr && service->engine)
+            {
+                row.region = home_region(row.service);
+            }
+        }
+    }
+    /// The region whose instances schedule a service's engines: the one with most zones, the same at all instances.
+    region_id home_region(const service_id& service) const
+    {
+        region_id best = state_.self().region;
+        std::pair<std::ptrdiff_t, std::uint64_t> highest{0, 0};
+        for (const auto& candidate : hints_.zones)
+        {
+            const auto zones = std::count_if(hints_.zones.begin(), hints_.zones.end(),
+                                             [&](const auto& zone) { return zone.region == candidate.region; });
+            const std::pair score{zones, rendezvous_score(service.value(), candidate.region.value())};
+            if (score > highest)
+            {
+                best = candidate.region;
+                highest = score;
+            }
+        }
+        return best;
+    }
     /// Engines are not asked for their load: their size is configured, and the pool's permits tell the rest.
     void set_capacities()
     {
--- a/libs/decision_core/src/lapse_filter.hpp
+++ b/libs/decision_core/src/lapse_filter.hpp
@@ -30,6 +30,10 @@
     {
         return keep_until_;
     }
+    [[nodiscard]] const instances_listed& in_force() const noexcept
+    {
+        return in_force_;
+    }
     [[nodiscard]] bool lost() const noexcept
     {
         return lost_;
--- a/libs/decision_core/src/permit_holder.cpp
+++ b/libs/decision_core/src/permit_holder.cpp
@@ -112,6 +112,18 @@
     return false;
 }
 
+void permit_holder::decline(const permit_grant& grant)
+{
+    state_.send(pools_.host_of(pool_),
+                permit_return{pool_, grant.permit, grant.endpoint, work_.customer, work_.work_class, 0, false});
+}
+
+void permit_holder::replace(const permit_grant& grant, std::int64_t tokens)
+{
+    give_back(tokens, false);
+    permit_ = grant;
+}
+
 void permit_holder::queued()
 {
     scheduler_answered_ = true;
--- a/libs/decision_core/src/permit_holder.hpp
+++ b/libs/decision_core/src/permit_holder.hpp
@@ -24,6 +24,10 @@
     std::optional<permit_grant> timer(const core_timer& due);
     /// @brief Takes a grant. @return false when it cannot be used; it goes back, and another one is asked for
     bool take(const permit_grant& grant, bool from_scheduler);
+    /// @brief Returns a grant that is not used, besides the permit in use.
+    void decline(const permit_grant& grant);
+    /// @brief Returns the permit in use and uses another one, of the same pool, from now on. @param tokens output
+    void replace(const permit_grant& grant, std::int64_t tokens);
     /// @brief The scheduler has queued the request.
     void queued();
     /// @brief The scheduler has denied the request; nothing is waited for any more.
--- a/libs/decision_core/src/pool_manager.cpp
+++ b/libs/decision_core/src/pool_manager.cpp
@@ -12,8 +12,18 @@
 
 /// Part of an endpoint's capacity by which a near endpoint may be busier and still be preferred.
 constexpr double own_zone_preference = 0.05;
+/// The same for one in the requester's region, beside the zone's: the link between regions is slow and billed by
+/// volume.
+constexpr double own_region_preference = 0.15;
 /// The same for an endpoint that holds the whole prompt in its prefix cache.
 constexpr double cached_prompt_preference = 0.3;
+/// The same for an endpoint in the zone of the one that a run leaves: a copy to another zone takes twice as long, so
+/// that only half of the runs get away in time.
+constexpr double same_zone_move_preference = 1.0;
+/// The same against an endpoint that receives another run at the moment, since the copies share its link.
+constexpr double receiving_penalty = 0.5;
+/// What a token of output is worth against one of the prompt.
+constexpr double output_worth = 10.0;
 
 bool names_request(const scheduling_decision& decision, const instance_id& to, request_id request)
 {
@@ -33,6 +43,11 @@
     {
         preference += own_zone_preference;
     }
+    if (entry != nullptr && requester != nullptr &&
+        state->entries.region_of(entry->availability_zone) == requester->region)
+    {
+        preference += own_region_preference;
+    }
     if (!work.prefixes.empty() && work.prompt_tokens > 0)
     {
         const double saved = state->prefixes.saved_tokens(endpoint, work.prefixes);
@@ -199,6 +214,7 @@
 
 void pool_manager::handle(const instance_id& from, const permit_return& returned)
 {
+    evacuations_.returned(returned.permit, state_.now);
     if (const auto found = hosted_.find(returned.pool); found != hosted_.end())
     {
         carry_out(found->second->give_back(from, returned, state_.now));
@@ -228,6 +244,7 @@
     for (const auto& entry : change.removed)
     {
         state_.reported_health.forget(entry.endpoint);
+        evacuate(entry);
         if (const auto found = hosted_.find(entry.pool); found != hosted_.end())
         {
             carry_out(found->second->remove_endpoint(entry.endpoint, state_.now));
@@ -271,6 +288,7 @@
     {
         return;
     }
+    evacuate(*entry);
     if (const auto found = hosted_.find(entry->pool); found != hosted_.end())
     {
         found->second->endpoint_leaving(endpoint);
@@ -278,6 +296,67 @@
     local(entry->pool).set_leaving(endpoint);
 }
 
+void pool_manager::evacuate(const endpoint_entry& leaving)
+{
+    const auto found = hosted_.find(leaving.pool);
+    if (!moves_enabled_ || found == hosted_.end())
+    {
+        return;
+    }
+    const scheduler& target = *found->second;
+    const double pace = target.pace_of(leaving.endpoint);
+    std::vector<leaving_run> runs;
+    for (const active_permit& run : target.running_at(leaving.endpoint, state_.now))
+    {
+        const std::int64_t left = std::max<std::int64_t>(run.expected_tokens - run.known_tokens, 1);
+        leaving_run described;
+        described.permit = run.id;
+        described.tokens = run.prompt_tokens + run.known_tokens;
+        described.expected_left = duration{static_cast<duration::rep>(static_cast<double>(left) / pace)};
+        described.worth =
+            static_cast<double>(run.prompt_tokens) + output_worth * static_cast<double>(run.expected_tokens);
+        runs.push_back(described);
+        leaving_.insert_or_assign(run.id, leaving_permit{leaving.pool, leaving.availability_zone, run});
+    }
+    evacuations_.begin(leaving.endpoint, std::move(runs), state_.now);
+}
+
+void pool_manager::offer_places()
+{
+    while (const auto next = evacuations_.next(state_.now))
+    {
+        const auto known = leaving_.find(*next);
+        if (known == leaving_.end() || !offer_place(known->second))
+        {
+            evacuations_.skip(*next);
+        }
+    }
+}
+
+bool pool_manager::offer_place(const leaving_permit& leaving)
+{
+    const auto found = hosted_.find(leaving.pool);
+    if (found == hosted_.end())
+    {
+        return false;
+    }
+    const auto preference = [&](const endpoint_id& endpoint)
+    {
+        const endpoint_entry* entry = state_.directory.find(endpoint);
+        const bool near = entry != nullptr && entry->availability_zone == leaving.zone;
+        return (near ? same_zone_move_preference : 0.0) - (evacuations_.receives(endpoint) ? receiving_penalty : 0.0);
+    };
+    const auto offer = found->second->offer_place(leaving.run, state_.now, preference);
+    if (!offer)
+    {
+        return false;
+    }
+    const auto& grant = std::get<permit_grant>(offer->message);
+    evacuations_.offered(leaving.run.id, grant.permit, grant.endpoint, state_.now);
+    carry_out({*offer});
+    return true;
+}
+
 void pool_manager::load_reported(const load_report& report)
 {
     const endpoint_entry* entry = state_.directory.find(report.endpoint);
@@ -326,6 +405,12 @@
 
 void pool_manager::advance()
 {
+    if (evacuations_.next_deadline() <= state_.now)
+    {
+        evacuations_.expire(state_.now);
+    }
+    offer_places();
+    std::erase_if(leaving_, [this](const auto& entry) { return !evacuations_.waits(entry.first); });
     for (auto& [pool, target] : hosted_)
     {
         if (target->next_deadline() <= state_.now)
@@ -337,7 +422,7 @@
 
 time_point pool_manager::next_deadline() const
 {
-    time_point next = never;
+    time_point next = evacuations_.next_deadline();
     for (const auto& [pool, target] : hosted_)
     {
         next = std::min(next, target->next_deadline());
--- a/libs/decision_core/src/pool_manager.hpp
+++ b/libs/decision_core/src/pool_manager.hpp
@@ -2,6 +2,7 @@
 
 #include "core_state.hpp" // core_state
 
+#include <parsleyshift/migration/evacuation_planner.hpp>   // evacuation_planner
 #include <parsleyshift/scheduling/local_share_chooser.hpp> // local_share_chooser
 #include <parsleyshift/scheduling/pool_scheduler.hpp>      // basic_pool_scheduler
 
@@ -50,6 +51,12 @@
     void records_changed();
     void members_changed();
 
+    /// @brief Lets the schedulers here offer runs at leaving endpoints a place elsewhere.
+    void enable_moves()
+    {
+        moves_enabled_ = true;
+    }
+
     void advance();
     [[nodiscard]] time_point next_deadline() const;
     [[nodiscard]] bool hosts(const pool_id& pool) const
@@ -69,7 +76,22 @@
     [[nodiscard]] instance_id choose_host(const pool_id& pool) const;
     [[nodiscard]] double weight_of(const endpoint_id& endpoint) const;
 
+    struct leaving_permit
+    {
+        pool_id pool;
+        zone_id zone;
+        active_permit run;
+    };
+
+    void evacuate(const endpoint_entry& leaving);
+    void offer_places();
+    bool offer_place(const leaving_permit& leaving);
+
     core_state& state_;
+    bool moves_enabled_ = false;
+    evacuation_planner evacuations_;
+    /// The runs that wait for a place elsewhere.
+    std::unordered_map<permit_id, leaving_permit> leaving_;
     std::unordered_map<pool_id, std::unique_ptr<scheduler>> hosted_;
     std::unordered_map<pool_id, std::unique_ptr<local_share_chooser>> local_;
     std::unordered_map<pool_id, instance_id> host_of_;
--- a/libs/entry/include/parsleyshift/entry/entry_selector.hpp
+++ b/libs/entry/include/parsleyshift/entry/entry_selector.hpp
@@ -63,6 +63,8 @@
     /// @brief Names the region of a zone that no member is in. O(1).
     void learn_zone(const zone_id& zone, const region_id& region);
 
+    /// @brief Region of a zone that learn_zone() has named; empty for another one. O(1).
+    [[nodiscard]] region_id region_of(const zone_id& zone) const;
     /// @brief Ranks entries for a caller. O(entry_slots), independent of the number of members, while the shard has a
     /// usable member; otherwise O(entry_slots + members * log(members)).
     /// @param zone the caller's availability zone; an unknown one gives no preference
--- a/libs/entry/src/entry_selector.cpp
+++ b/libs/entry/src/entry_selector.cpp
@@ -83,6 +83,12 @@
     region_of_[zone] = region;
 }
 
+region_id entry_selector::region_of(const zone_id& zone) const
+{
+    const auto found = region_of_.find(zone);
+    return found == region_of_.end() ? region_id{} : found->second;
+}
+
 bool entry_selector::usable(const member_update& member) const
 {
     return member.state == member_state::alive;
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -53,6 +53,8 @@
     void handle(const drop_forward& drop);
     void handle(const deliver_forward& deliver);
     void handle(const request_rejected& rejected);
+    void handle(const copy_run& copy);
+    void handle(const release_copy& release);
     void flush()
     {
         server_.flush();
@@ -65,6 +67,9 @@
   private:
     class attempt_sink;
 
+    /// Longer than the notice of an engine that leaves.
+    static constexpr duration copy_timeout{2'500};
+    static constexpr std::size_t max_copy_answer = std::size_t{16} * 1024;
     /// Largest answer that is held until it is whole.
     static constexpr std::size_t max_held_answer = std::size_t{8} * 1024 * 1024;
 
@@ -96,6 +101,15 @@
     void answer(http_session& session, const own_answer& own);
     [[nodiscard]] static std::uint64_t content_hash(const http_request& request);
 
+    /// A request in progress.
+    struct request_bytes
+    {
+        http_request asked;
+        std::string caller_id;
+        /// Events that the caller has received, over all engines of the run.
+        std::int64_t events = 0;
+        std::string last_event;
+    };
     struct running_attempt
     {
         std::shared_ptr<http_exchange> exchange;
@@ -109,7 +123,7 @@
     http_server server_;
     http_client client_;
     /// The bytes of the requests in progress.
-    std::unordered_map<request_id, http_request> asked_;
+    std::unordered_map<request_id, request_bytes> asked_;
     std::unordered_map<attempt_id, running_attempt> attempts_;
 };
 
@@ -170,7 +184,7 @@
         {
             return false;
         }
-        reading_ = owner_.protocol_.read_answer(head, asked->second);
+        reading_ = owner_.protocol_.read_answer(head, asked->second.asked);
         if (!reading_.belongs)
         {
             return false;
@@ -191,11 +205,10 @@
         {
             return body.size() <= max_held_answer;
         }
-        if (!pass_on(body))
+        if (pass_on(body))
         {
-            return true;
+            owner_.feed_(forward_progress{start_.attempt, events()});
         }
-        owner_.feed_(forward_progress{start_.attempt, events_});
         return true;
     }
     void on_done(std::string& body) override
@@ -212,13 +225,15 @@
             return;
         }
         pass_on(body);
+        const std::int64_t total = events();
         if (const auto session = owner_.server_.find(start_.request))
         {
+            session->stream().append(splitter_.rest());
             session->end_stream();
             owner_.server_.touch(session);
         }
         const forwarder_end end{owner_, start_};
-        owner_.feed_(forward_completed{start_.attempt, events_});
+        owner_.feed_(forward_completed{start_.attempt, total});
     }
     void on_failed(attempt_failure failure, std::string message) override
     {
@@ -234,6 +249,11 @@
             return;
         }
         streaming_ = true;
+        if (session.is_streaming())
+        {
+            // The stream goes on where the engine before has left it.
+            return;
+        }
         session.begin_stream(forwarded_answer_head(head_, {true, 0, session.keeps_alive()}));
     }
     [[nodiscard]] bool is_whole() const noexcept
@@ -267,20 +287,32 @@
         return start_.kind == route_kind::stream && reading_.sign == answer_sign::success && body_.empty() &&
                type.substr(0, event_stream.size()) == event_stream;
     }
+    [[nodiscard]] std::int64_t events() const
+    {
+        const auto known = owner_.asked_.find(start_.request);
+        return known == owner_.asked_.end() ? 0 : known->second.events;
+    }
     /// @return true when the piece ends an event
     bool pass_on(std::string& body)
     {
         const auto session = owner_.server_.find(start_.request);
-        if (!session || body.empty())
+        const auto known = owner_.asked_.find(start_.request);
+        if (!session || known == owner_.asked_.end() || body.empty())
         {
             return false;
         }
-        const std::size_t ended = counter_.count(body);
-        events_ += static_cast<std::int64_t>(ended);
-        session->stream().append(body);
-        owner_.server_.touch(session);
+        const std::int64_t before = splitter_.events();
+        const std::string_view whole = splitter_.take(body);
         body.clear();
-        return ended > 0;
+        if (whole.empty())
+        {
+            return false;
+        }
+        known->second.events += splitter_.events() - before;
+        known->second.last_event = splitter_.last_id();
+        session->stream().append(whole);
+        owner_.server_.touch(session);
+        return true;
     }
     void fail(attempt_failure failure, std::string message)
     {
@@ -296,8 +328,7 @@
     answer_reading reading_;
     response_head head_;
     std::string body_;
-    event_counter counter_;
-    std::int64_t events_ = 0;
+    event_splitter splitter_;
     bool streaming_ = false;
 };
 
@@ -327,7 +358,7 @@
     forward_request& asked = read.value();
     asked.request = server_.enroll(session);
     asked.content = content_hash(request);
-    asked_.insert_or_assign(asked.request, std::move(request));
+    asked_.insert_or_assign(asked.request, request_bytes{std::move(request), asked.caller_id, 0, {}});
     feed_(std::move(asked));
 }
 
@@ -371,10 +402,15 @@
     const duration left = start.deadline - millisecond_clock::now();
     http_call call;
     call.address = start.address;
-    call.text = forwarded_request_head(asked->second, [this](std::string_view field)
+    call.text = forwarded_request_head(asked->second.asked, [this](std::string_view field)
                                        { return protocol_.forwards_request_field(field); });
-    protocol_.append_attempt_fields(call.text, start, left);
-    call.text.append("\r\n").append(asked->second.body());
+    start_forward known = start;
+    if (known.continuation)
+    {
+        known.continuation->last_event = asked->second.last_event;
+    }
+    protocol_.append_attempt_fields(call.text, known, left);
+    call.text.append("\r\n").append(asked->second.asked.body());
     call.not_after = start.not_after;
     call.body_limit = std::nullopt;
     auto sink = std::make_shared<attempt_sink>(*this, start);
@@ -382,6 +418,50 @@
     attempts_.emplace(start.attempt, running_attempt{std::move(exchange), std::move(sink)});
 }
 
+template <forwarding_protocol P>
+void forwarder<P>::handle(const copy_run& copy)
+{
+    const auto asked = asked_.find(copy.request);
+    if (asked == asked_.end())
+    {
+        return;
+    }
+    const endpoint_call wanted = protocol_.copy_call(copy, asked->second.caller_id);
+    http_call call;
+    call.address = copy.source;
+    call.text = request_text(wanted.method, wanted.target, copy.source, wanted.body);
+    call.answer_by = millisecond_clock::now() + copy_timeout;
+    call.body_limit = max_copy_answer;
+    client_.start(std::move(call),
+                  [this, attempt = copy.attempt, stop = copy.stop](const http_result& answer)
+                  {
+                      run_copied copied;
+                      if (answer.has_value())
+                      {
+                          copied = protocol_.read_copy(answer.value().status, answer.value().body, stop);
+                      }
+                      else if (proves_not_run(answer.error().failure))
+                      {
+                          copied.result = copy_result::refused;
+                      }
+                      copied.attempt = attempt;
+                      feed_(std::move(copied));
+                  });
+}
+
+template <forwarding_protocol P>
+void forwarder<P>::handle(const release_copy& release)
+{
+    const endpoint_call wanted = protocol_.release_call(release);
+    http_call call;
+    call.address = release.source;
+    call.text = request_text(wanted.method, wanted.target, release.source, wanted.body);
+    call.answer_by = millisecond_clock::now() + copy_timeout;
+    call.body_limit = max_copy_answer;
+    // The memory is freed after some seconds in any case.
+    client_.start(std::move(call), [](const http_result& /*answer*/) {});
+}
+
 template <forwarding_protocol P>
 void forwarder<P>::handle(const drop_forward& drop)
 {
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
@@ -36,12 +36,20 @@
     std::string body;
 };
 
+/// @brief A call to an endpoint besides the forwarded requests.
+struct endpoint_call
+{
+    std::string_view method;
+    std::string target;
+    std::string body;
+};
+
 /// @brief The wire protocol of forwarded requests towards callers and endpoints. It translates and decides nothing.
 template <class P>
 concept forwarding_protocol = requires(const P& protocol, const http_request& asked, const start_forward& attempt,
                                        duration left, const response_head& head, std::string& out,
                                        std::string_view field, const request_rejected& rejected,
-                                       const entry_answer& entries)
+                                       const entry_answer& entries, const copy_run& copy, const release_copy& release)
 {
     // A caller's request, decoded once; the id and the content hash are set by the caller of the function.
     {
@@ -56,6 +64,16 @@
     {
         protocol.read_answer(head, asked)
         } -> std::same_as<answer_reading>;
+    // Copies of a run, which endpoints know by the caller's id of the request, and their answers.
+    {
+        protocol.copy_call(copy, field)
+        } -> std::same_as<endpoint_call>;
+    {
+        protocol.read_copy(unsigned{}, field, bool{})
+        } -> std::same_as<run_copied>;
+    {
+        protocol.release_call(release)
+        } -> std::same_as<endpoint_call>;
     {
         protocol.rejection(rejected)
         } -> std::same_as<own_answer>;
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
@@ -204,6 +204,14 @@
     {
         forwarder_.handle(rejected);
     }
+    void carry_out(copy_run& copy)
+    {
+        forwarder_.handle(copy);
+    }
+    void carry_out(release_copy& release)
+    {
+        forwarder_.handle(release);
+    }
     void carry_out(entry_answer& answer)
     {
         if (const auto session = entry_server_.find(answer.request))
--- a/libs/forwarding/include/parsleyshift/forwarding/http_relay.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/http_relay.hpp
@@ -4,6 +4,7 @@
 #include <parsleyshift/runtime/http_session.hpp> // http_request
 
 #include <cstddef>     // size_t
+#include <cstdint>     // int64_t
 #include <functional>  // function
 #include <string>      // string
 #include <string_view> // string_view
@@ -33,16 +34,42 @@
 /// @brief Head of a forwarded answer with its blank line.
 [[nodiscard]] std::string forwarded_answer_head(const response_head& head, const answer_framing& framing);
 
-/// @brief Counts the events of a text/event-stream over pieces of any size.
-class event_counter
+/// @brief Splits a text/event-stream into whole events.
+///
+/// Only whole events are passed on, so that a run can go on elsewhere after a piece that ends inside of one.
+class event_splitter
 {
   public:
-    /// @return events that end in the piece
-    std::size_t count(std::string_view piece) noexcept;
+    /// @brief Takes a piece.
+    /// @return the text of the events that are whole now; valid until the next call
+    std::string_view take(std::string_view piece);
+    /// @brief What is held of an event that is not whole.
+    [[nodiscard]] const std::string& rest() const noexcept
+    {
+        return held_;
+    }
+    /// @brief Whole events so far.
+    [[nodiscard]] std::int64_t events() const noexcept
+    {
+        return events_;
+    }
+    /// @brief Id of the last whole event that has one.
+    [[nodiscard]] const std::string& last_id() const noexcept
+    {
+        return last_id_;
+    }
 
   private:
-    /// Line ends in a row at the end of the last piece.
-    int line_ends_ = 1;
+    void note_line(std::string_view line);
+
+    std::string held_;
+    std::string whole_;
+    std::string last_id_;
+    /// Id of the event that is not whole yet.
+    std::string next_id_;
+    /// Bytes of held_ whose lines have been looked at.
+    std::size_t scanned_ = 0;
+    std::int64_t events_ = 0;
 };
 
 } // namespace parsleyshift
--- a/libs/forwarding/src/http_relay.cpp
+++ b/libs/forwarding/src/http_relay.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm> // any_of
 #include <array>     // array
+#include <utility>   // exchange
 
 namespace parsleyshift
 {
@@ -104,19 +105,45 @@
     return out;
 }
 
-std::size_t event_counter::count(std::string_view piece) noexcept
+std::string_view event_splitter::take(std::string_view piece)
 {
-    std::size_t ended = 0;
-    for (const char byte : piece)
+    held_.append(piece);
+    std::size_t whole = 0;
+    for (auto end = held_.find('\n', scanned_); end != std::string::npos; end = held_.find('\n', scanned_))
     {
-        if (byte == '\r')
+        std::string_view line{held_.data() + scanned_, end - scanned_};
+        scanned_ = end + 1;
+        if (line.ends_with('\r'))
         {
+            line.remove_suffix(1);
+        }
+        if (!line.empty())
+        {
+            note_line(line);
             continue;
         }
-        line_ends_ = byte == '\n' ? line_ends_ + 1 : 0;
-        ended += line_ends_ == 2 ? 1 : 0;
+        whole = scanned_;
+        ++events_;
+        if (!next_id_.empty())
+        {
+            last_id_ = std::exchange(next_id_, {});
+        }
+    }
+    whole_.assign(held_, 0, whole);
+    held_.erase(0, whole);
+    scanned_ -= whole;
+    return whole_;
+}
+
+void event_splitter::note_line(std::string_view line)
+{
+    constexpr std::string_view name = "id:";
+    if (!line.starts_with(name))
+    {
+        return;
     }
-    return ended;
+    line.remove_prefix(name.size());
+    next_id_ = line.starts_with(' ') ? line.substr(1) : line;
 }
 
 } // namespace parsleyshift
--- a/libs/forwarding/tests/http_relay_test.cpp
+++ b/libs/forwarding/tests/http_relay_test.cpp
@@ -69,18 +69,23 @@
     CHECK_FALSE(contains(closing, "77"));
 }
 
-// Guards against events that are counted twice or not at all when a piece ends inside of one.
-TEST(http_relay, counts_events_over_pieces_of_any_size)
+// Guards against events that are cut, counted twice or not at all when a piece ends inside of one.
+TEST(http_relay, splits_streams_into_whole_events_for_pieces_of_any_size)
 {
-    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\ndata: d\n\n";
-    for (std::size_t size = 1; size <= stream.size(); ++size)
+    const std::string stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\nid: 3\ndata: c\ndata: d\n\n";
+    const std::string rest = "id: 4\ndata: e\n";
+    const std::string all_bytes = stream + rest;
+    for (std::size_t size = 1; size <= all_bytes.size(); ++size)
     {
-        event_counter counter;
-        std::size_t events = 0;
-        for (std::size_t at = 0; at < stream.size(); at += size)
+        event_splitter splitter;
+        std::string whole;
+        for (std::size_t at = 0; at < all_bytes.size(); at += size)
         {
-            events += counter.count(std::string_view{stream}.substr(at, size));
+            whole += splitter.take(std::string_view{all_bytes}.substr(at, size));
         }
-        LONGS_EQUAL(3, events);
+        STRCMP_EQUAL(stream.c_str(), whole.c_str());
+        STRCMP_EQUAL(rest.c_str(), splitter.rest().c_str());
+        LONGS_EQUAL(3, splitter.events());
+        STRCMP_EQUAL("3", splitter.last_id().c_str());
     }
 }
--- a/libs/messages/include/parsleyshift/messages/action.hpp
+++ b/libs/messages/include/parsleyshift/messages/action.hpp
@@ -243,6 +243,8 @@
     input_rejected,
     /// A forwarded request was sent to an endpoint.
     request_sent,
+    /// A run moves to another engine, or stays after all.
+    run_moving,
     /// A forwarded request ended.
     request_ended,
     /// The configuration service does not answer, or answers again.
@@ -270,6 +272,7 @@
                                      enum_name<log_event>{log_event::instance_started, "instance_started"},
                                      enum_name<log_event>{log_event::input_rejected, "input_rejected"},
                                      enum_name<log_event>{log_event::request_sent, "request_sent"},
+                                     enum_name<log_event>{log_event::run_moving, "run_moving"},
                                      enum_name<log_event>{log_event::request_ended, "request_ended"},
                                      enum_name<log_event>{log_event::dependency_lost, "dependency_lost"},
                                      enum_name<log_event>{log_event::dependency_regained, "dependency_regained"},
@@ -301,6 +304,6 @@
                             stream_started, stream_tokens, stream_ended, whole_answer, call_answer, request_rejected,
                             entry_answer, key_answer, cancel_answer, send_to_peer, read_configuration, watch_endpoint,
                             send_placement_order, observe, request_finished, write_log, stop_complete, operator_answer,
-                            start_forward, drop_forward, deliver_forward>;
+                            start_forward, drop_forward, deliver_forward, copy_run, release_copy>;
 
 } // namespace parsleyshift
--- a/libs/messages/include/parsleyshift/messages/event.hpp
+++ b/libs/messages/include/parsleyshift/messages/event.hpp
@@ -135,12 +135,12 @@
 };
 
 /// @brief Everything that can happen to a decision core.
-using event =
-    std::variant<generation_request, resume_request, cancel_request, call_request, key_request, order_request,
-                 order_query, entry_query, caller_disconnected, caller_stalled, caller_drained, attempt_started,
-                 attempt_tokens, attempt_ended, attempt_failed, call_answered, load_reported, load_unavailable,
-                 cache_reported, placement_answered, configuration_received, configuration_unavailable,
-                 instances_listed, peer_received, stop_planned, timer_expired, operator_query, forward_request,
-                 forward_answered, forward_progress, forward_completed, forwarding_configured, configuration_confirmed>;
+using event = std::variant<generation_request, resume_request, cancel_request, call_request, key_request, order_request,
+                           order_query, entry_query, caller_disconnected, caller_stalled, caller_drained,
+                           attempt_started, attempt_tokens, attempt_ended, attempt_failed, call_answered, load_reported,
+                           load_unavailable, cache_reported, placement_answered, configuration_received,
+                           configuration_unavailable, instances_listed, peer_received, stop_planned, timer_expired,
+                           operator_query, forward_request, forward_answered, forward_progress, forward_completed,
+                           forwarding_configured, configuration_confirmed, run_copied>;
 
 } // namespace parsleyshift
--- a/libs/messages/include/parsleyshift/messages/forward.hpp
+++ b/libs/messages/include/parsleyshift/messages/forward.hpp
@@ -75,6 +75,8 @@
     std::int64_t memory_tokens = 0;
     /// Tokens in one event of a stream.
     std::int64_t tokens_per_event = 1;
+    /// A run can move to another engine with its memory.
+    bool moves_runs = false;
 
     friend bool operator==(const engine_capacity&, const engine_capacity&) = default;
 };
@@ -206,6 +208,71 @@
     time_point as_of;
 };
 
+/// @brief Where a run goes on: an engine holds its memory under a handle.
+struct run_continuation
+{
+    /// "ip:port" of the engine that the run was copied from.
+    std::string source;
+    std::string handle;
+    /// Id of the last event that the caller has received; set by the I/O, which sees the events.
+    std::string last_event;
+
+    friend bool operator==(const run_continuation&, const run_continuation&) = default;
+};
+
+/// @brief How a call to copy a run ended.
+enum class copy_result
+{
+    /// The copy is complete; for a stopping call the run stands still at its engine.
+    complete,
+    /// Nothing was copied, and the run goes on as before.
+    refused,
+    /// The run has stopped, but the other engine does not hold all of it; it can go on at the engine where it was.
+    stopped_in_place,
+    /// It cannot be told what happened.
+    unknown,
+};
+
+template <>
+struct enum_names<copy_result>
+{
+    static constexpr std::array rows{enum_name<copy_result>{copy_result::complete, "complete"},
+                                     enum_name<copy_result>{copy_result::refused, "refused"},
+                                     enum_name<copy_result>{copy_result::stopped_in_place, "stopped_in_place"},
+                                     enum_name<copy_result>{copy_result::unknown, "unknown"}};
+};
+
+/// @brief A copy of a run was asked for, and this became of it.
+struct run_copied
+{
+    attempt_id attempt;
+    copy_result result = copy_result::unknown;
+    /// Names the memory of the run.
+    std::string handle;
+    /// Events that the run has produced.
+    std::int64_t events = 0;
+};
+
+/// @brief Copy the memory of a run to another engine.
+struct copy_run
+{
+    attempt_id attempt;
+    request_id request;
+    /// "ip:port" of the engine that runs it, and of the one that gets the copy.
+    std::string source;
+    std::string destination;
+    /// Stop the run first; without it the run goes on while it is copied.
+    bool stop = false;
+};
+
+/// @brief Free the memory that an engine and its copies hold under a handle.
+struct release_copy
+{
+    /// "ip:port" of the engine that the run was copied from.
+    std::string source;
+    std::string handle;
+};
+
 /// @brief Send a forwarded request to an endpoint.
 struct start_forward
 {
@@ -221,6 +288,8 @@
     time_point not_after = never;
     /// When the caller ceases to wait; passed to the endpoint as the time that is left.
     time_point deadline = never;
+    /// Set for a run that goes on from another engine.
+    std::optional<run_continuation> continuation;
 };
 
 /// @brief Give up an attempt: its connection is closed, and nothing more of it is reported.
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -156,6 +156,8 @@
     class_id work_class;
     std::int64_t prompt_tokens = 0;
     std::int64_t max_tokens = 0;
+    /// The caller's estimate of the output; 0 when there is none.
+    std::int64_t expected_tokens = 0;
     /// stable_hash of the prompt's prefixes at fixed lengths, longest first.
     std::vector<std::uint64_t> prefixes;
     /// Time by which the work must have started.
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -90,7 +90,7 @@
     }
     known->second.reading = reading_;
     endpoint_entry& entry = known->second.entry;
-    if (entry.address == row.address && entry.started == row.started)
+    if (entry.address == row.address && entry.started == row.started && entry.region == row.region)
     {
         if (row.leaving && mark_leaving(entry))
         {
--- a/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
@@ -3,6 +3,7 @@
 #include <parsleyshift/scheduling/pool_scheduler.hpp> // basic_pool_scheduler
 
 #include <algorithm> // max, min, sort, stable_sort
+#include <cmath>     // pow
 #include <limits>    // numeric_limits
 #include <utility>   // move
 
@@ -220,7 +221,7 @@
 time_point basic_pool_scheduler<QueueOrder, EndpointChoice>::next_deadline() const
 {
     const time_point start = deadlines_.empty() ? never : deadlines_.begin()->at;
-    return std::min({start, endpoints_.next_expiry(), slow_start_ends_});
+    return std::min({start, endpoints_.next_expiry(), slow_start_ends_, next_read_});
 }
 
 template <queue_order QueueOrder, endpoint_choice EndpointChoice>
@@ -365,6 +366,7 @@
     while (requests_waiting_ > 0 && grant_next(now, hint, out))
     {
     }
+    next_read_ = requests_waiting_ > 0 ? endpoints_.next_read(now) : never;
 }
 
 template <queue_order QueueOrder, endpoint_choice EndpointChoice>
@@ -424,7 +426,7 @@
     double best_score = -std::numeric_limits<double>::max();
     const auto examine = [&](endpoint_table::index at)
     {
-        const double value = score(work, need.uses, at);
+        const double value = score(work, need.uses, at, now);
         if (value > best_score && endpoints_.fits(at, need, now))
         {
             best = at;
@@ -451,15 +453,22 @@
     need.prompt_tokens = work.work.prompt_tokens;
     need.expected_tokens =
         lengths_->total(work.work.work_class, work.work.customer, settings_.reserve_quantile, 0, work.work.max_tokens);
+    if (work.work.expected_tokens > 0 && need.expected_tokens > 0)
+    {
+        const double hinted = std::pow(static_cast<double>(work.work.expected_tokens), settings_.hint_weight);
+        const double learned = std::pow(static_cast<double>(need.expected_tokens), 1.0 - settings_.hint_weight);
+        need.expected_tokens = std::max<std::int64_t>(static_cast<std::int64_t>(hinted * learned), 1);
+    }
     return need;
 }
 
 template <queue_order QueueOrder, endpoint_choice EndpointChoice>
 double basic_pool_scheduler<QueueOrder, EndpointChoice>::score(const waiting_work& work, lane uses,
-                                                               endpoint_table::index at)
+                                                               endpoint_table::index at, time_point now)
 {
     double value = choice_(work.from, work.work, endpoints_.id_of(at)) - endpoints_.busy(at);
     value -= settings_.unhealthy_penalty * (1.0 - endpoints_.health(at));
+    value -= settings_.reading_penalty * endpoints_.reading_share(at, now);
     if (uses == lane::shared && endpoints_.has_stragglers(at))
     {
         // Short work is not kept away: that cost it more in remote endpoints than stragglers delay it.
@@ -499,6 +508,45 @@
                                                     permit.prompt_tokens + permit.expected_tokens, permit.expires}});
 }
 
+template <queue_order QueueOrder, endpoint_choice EndpointChoice>
+template <class Preference>
+std::optional<scheduling_decision>
+basic_pool_scheduler<QueueOrder, EndpointChoice>::offer_place(const active_permit& run, time_point now,
+                                                              Preference preference)
+{
+    room_request need;
+    need.uses = run.uses;
+    need.prompt_tokens = run.prompt_tokens + run.known_tokens;
+    need.expected_tokens = std::max<std::int64_t>(run.expected_tokens - run.known_tokens, 1);
+    std::optional<endpoint_table::index> best;
+    double best_score = -std::numeric_limits<double>::max();
+    for (const endpoint_table::index at : endpoints_.open())
+    {
+        const double value = preference(endpoints_.id_of(at)) - endpoints_.busy(at);
+        if (endpoints_.id_of(at) != run.endpoint && value > best_score && endpoints_.fits(at, need, now))
+        {
+            best = at;
+            best_score = value;
+        }
+    }
+    if (!best)
+    {
+        return std::nullopt;
+    }
+    active_permit place = run;
+    place.id = permit_id{++next_permit_};
+    place.endpoint = endpoints_.id_of(*best);
+    place.granted = now;
+    place.known_at = now;
+    place.expires = now + settings_.permit_lifetime;
+    place.straggler = false;
+    place.reads_prompt = false;
+    endpoints_.insert(place, false);
+    requests_[place.key] = request_state{class_index(place.work_class), 0, place.id, never};
+    return scheduling_decision{place.key.from, permit_grant{place.key.request, place.id, place.endpoint, place.priority,
+                                                            need.prompt_tokens + need.expected_tokens, place.expires}};
+}
+
 template <queue_order QueueOrder, endpoint_choice EndpointChoice>
 void basic_pool_scheduler<QueueOrder, EndpointChoice>::repeat_grant(const instance_id& from, const request_state& state,
                                                                     scheduling_decisions& out) const
--- a/libs/scheduling/include/parsleyshift/scheduling/endpoint_table.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/endpoint_table.hpp
@@ -43,6 +43,8 @@
     int priority = 0;
     /// Outgrew its expectation by the straggler factor.
     bool straggler = false;
+    /// False for a run that comes with its memory.
+    bool reads_prompt = true;
 };
 
 /// @brief Room that a piece of work needs at an endpoint.
@@ -91,6 +93,10 @@
     [[nodiscard]] bool fits(index at, const room_request& need, time_point now);
     /// @brief How busy an endpoint is: about 0 idle, 1 full; health counts as lost capacity. Constant time.
     [[nodiscard]] double busy(index at) const;
+    /// @brief Time for which an endpoint reads prompts that were sent to it, as a share of the limit. Constant time.
+    [[nodiscard]] double reading_share(index at, time_point now) const;
+    /// @brief Time when an endpoint that has too much to read takes work again, or never. Linear in the endpoints.
+    [[nodiscard]] time_point next_read(time_point now) const;
     [[nodiscard]] bool has_stragglers(index at) const;
     [[nodiscard]] double health(index at) const;
     [[nodiscard]] const endpoint_id& id_of(index at) const;
@@ -105,6 +111,10 @@
         return index_of_.size();
     }
     [[nodiscard]] const active_permit* permit(permit_id permit) const;
+    /// @brief The permits in use at an endpoint, with the output expected to exist now. Linear in them.
+    [[nodiscard]] std::vector<active_permit> permits_at(const endpoint_id& endpoint, time_point now) const;
+    /// @brief Output tokens per millisecond of one stream at an endpoint.
+    [[nodiscard]] double pace_of(const endpoint_id& endpoint) const;
     [[nodiscard]] std::size_t permit_count() const noexcept
     {
         return permits_.size();
@@ -139,6 +149,8 @@
         /// Output tokens per millisecond of one stream.
         double pace = 0.03;
         time_point reported_as_of;
+        /// All prompts that were sent here are expected to be read by then.
+        time_point reading_until;
         std::vector<active_permit*> permits;
         /// Ends of permits that a later report may still count as running.
         std::deque<ended_permit> recent_ends;
--- a/libs/scheduling/include/parsleyshift/scheduling/pool_scheduler.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/pool_scheduler.hpp
@@ -79,6 +79,23 @@
     /// an endpoint that is not known here is not counted until add_endpoint() and a later renewal.
     scheduling_decisions register_permit(const instance_id& from, const permit_registration& registration,
                                          time_point now);
+    /// @brief The permits in use at an endpoint, with the output expected to exist now. Linear in them.
+    [[nodiscard]] std::vector<active_permit> running_at(const endpoint_id& endpoint, time_point now) const
+    {
+        return endpoints_.permits_at(endpoint, now);
+    }
+    /// @brief Output tokens per millisecond of one stream at an endpoint.
+    [[nodiscard]] double pace_of(const endpoint_id& endpoint) const
+    {
+        return endpoints_.pace_of(endpoint);
+    }
+    /// @brief Offers a run a place at another endpoint: a further permit of the same request, granted before all that
+    /// waits. The requester returns the permit that it does not use.
+    /// @param run from running_at()
+    /// @param preference added to the score of each endpoint with room, in shares of its capacity
+    /// @return nothing when no endpoint has room
+    template <class Preference>
+    std::optional<scheduling_decision> offer_place(const active_permit& run, time_point now, Preference preference);
     /// @brief Handles what is due: start deadlines, expired permits, the end of the slow start.
     scheduling_decisions advance(time_point now);
     /// @brief Time when advance() must be called next; never when nothing is due. Constant time.
@@ -131,7 +148,7 @@
     std::optional<endpoint_table::index> choose(const waiting_work& work, const room_request& need,
                                                 std::optional<endpoint_table::index> hint, time_point now);
     [[nodiscard]] room_request room_for(const priority_record& record, const waiting_work& work) const;
-    [[nodiscard]] double score(const waiting_work& work, lane uses, endpoint_table::index at);
+    [[nodiscard]] double score(const waiting_work& work, lane uses, endpoint_table::index at, time_point now);
     void grant(std::size_t class_at, endpoint_table::index at, time_point now, scheduling_decisions& out);
     void repeat_grant(const instance_id& from, const request_state& state, scheduling_decisions& out) const;
     std::optional<endpoint_table::index> forget_permit(permit_id permit, time_point now);
@@ -157,6 +174,8 @@
     std::uint64_t next_sequence_ = 1;
     std::uint64_t next_permit_ = 0;
     time_point slow_start_ends_;
+    /// An endpoint has read so much that waiting work may fit again.
+    time_point next_read_ = never;
 };
 
 /// @brief The scheduler that the daemon uses unless routing supplies a choice: fair by customer, no preference.
--- a/libs/scheduling/include/parsleyshift/scheduling/scheduler_settings.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/scheduler_settings.hpp
@@ -17,6 +17,17 @@
     double headroom_share = 0.08;
     /// Quantile of the output length that memory is reserved for.
     double reserve_quantile = 0.7;
+    /// Weight of the caller's estimate of the output against the learned length, as an exponent: callers' estimates are
+    /// right at the median and off by a factor of about 3, which is a little better than the class's distribution.
+    double hint_weight = 0.6;
+    /// Prompt tokens that an endpoint reads in a millisecond beside its other work; 0: unknown, prompts do not count.
+    double prompt_tokens_per_ms = 0.0;
+    /// Longest time for which an endpoint may be reading prompts when it gets another one; the prompts wait in the
+    /// queue instead, where the most urgent one goes first.
+    duration reading_limit{500};
+    /// How much busier, as a share of its capacity, an endpoint may be than one that has `reading_limit` of prompts to
+    /// read, and still be preferred.
+    double reading_penalty = 0.5;
     /// Waiting time that raises a class by one level.
     duration aging_step{10'000};
     /// Waiting time after which work that does not fit keeps other work from taking the room it needs.
--- a/libs/scheduling/src/endpoint_table.cpp
+++ b/libs/scheduling/src/endpoint_table.cpp
@@ -150,9 +150,33 @@
         entry.foreign_memory -= entry.foreign_memory / entry.foreign_running;
         --entry.foreign_running;
     }
+    if (permit.reads_prompt && !explains_report && settings_.prompt_tokens_per_ms > 0.0)
+    {
+        const double taken = static_cast<double>(permit.prompt_tokens) / settings_.prompt_tokens_per_ms;
+        entry.reading_until =
+            std::max(entry.reading_until, permit.granted) + duration{static_cast<duration::rep>(taken)};
+    }
     update_open(at);
 }
 
+double endpoint_table::reading_share(index at, time_point now) const
+{
+    const duration left = std::max(entries_[at].reading_until - now, duration{});
+    return static_cast<double>(left.count()) /
+           static_cast<double>(std::max<duration::rep>(settings_.reading_limit.count(), 1));
+}
+
+time_point endpoint_table::next_read(time_point now) const
+{
+    time_point next = never;
+    for (const endpoint_entry& entry : entries_)
+    {
+        const bool waits = entry.used && entry.reading_until - now > settings_.reading_limit;
+        next = waits ? std::min(next, entry.reading_until - settings_.reading_limit) : next;
+    }
+    return next;
+}
+
 bool endpoint_table::renew(permit_id permit, std::int64_t tokens, time_point now)
 {
     const auto found = permits_.find(permit);
@@ -229,7 +253,7 @@
 bool endpoint_table::fits(index at, const room_request& need, time_point now)
 {
     endpoint_entry& entry = entries_[at];
-    if (!takes_work(entry) || !slots_fit(entry, need))
+    if (!takes_work(entry) || !slots_fit(entry, need) || entry.reading_until - now > settings_.reading_limit)
     {
         return false;
     }
@@ -347,6 +371,28 @@
     return found == permits_.end() ? nullptr : &found->second;
 }
 
+std::vector<active_permit> endpoint_table::permits_at(const endpoint_id& endpoint, time_point now) const
+{
+    std::vector<active_permit> found;
+    if (const auto at = find(endpoint))
+    {
+        const endpoint_entry& entry = entries_[*at];
+        for (const active_permit* permit : entry.permits)
+        {
+            found.push_back(*permit);
+            found.back().known_tokens = produced(entry, *permit, now);
+            found.back().known_at = now;
+        }
+    }
+    return found;
+}
+
+double endpoint_table::pace_of(const endpoint_id& endpoint) const
+{
+    const auto at = find(endpoint);
+    return at ? entries_[*at].pace : endpoint_entry{}.pace;
+}
+
 void endpoint_table::finish_slow_start()
 {
     slow_start_ = false;
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -97,6 +97,7 @@
     7: i64 max_tokens
     8: list<i64> prefixes
     9: i64 start_by = 9223372036854775807
+    10: i64 expected_tokens
 }
 
 struct permit_request
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -279,6 +279,7 @@
     copy(wire.model, value.model);
     copy(wire.work_class, value.work_class);
     copy(wire.prompt_tokens, value.prompt_tokens);
+    copy(wire.expected_tokens, value.expected_tokens);
     copy(wire.max_tokens, value.max_tokens);
     copy(wire.prefixes, value.prefixes);
     copy(wire.start_by, value.start_by);
--- a/libs/wire/tests/peer_codec_test.cpp
+++ b/libs/wire/tests/peer_codec_test.cpp
@@ -94,6 +94,7 @@
                 .work_class = name<class_id>(),
                 .prompt_tokens = any<std::int64_t>(),
                 .max_tokens = any<std::int64_t>(),
+                .expected_tokens = any<std::int64_t>(),
                 .prefixes = several([this] { return any<std::uint64_t>(); }),
                 .start_by = time()};
     }
