--- a/libs/migration/tests/evacuation_planner_test.cpp
+++ b/libs/migration/tests/evacuation_planner_test.cpp
@@ -14,7 +14,7 @@
 const endpoint_id source{"source"};
 const endpoint_id destination{"destination"};
 
-leaving_run run(std::uint64_t permit, std::int64_t tokens, double worth, duration left = 10'000_ms)
+leaving_run made_run(std::uint64_t permit, std::int64_t tokens, double worth, duration left = 10'000_ms)
 {
     return {permit_id{permit}, tokens, left, worth};
 }
@@ -29,7 +29,7 @@
 // Guards against copies that wait behind each other on the link of the endpoint that leaves.
 TEST(evacuation_planner, moves_one_run_of_an_endpoint_at_a_time)
 {
-    planner.begin(source, {run(1, 3'000, 10), run(2, 3'000, 20)}, start);
+    planner.begin(source, {made_run(1, 3'000, 10), made_run(2, 3'000, 20)}, start);
     CHECK(planner.next(start) == permit_id{2});
     planner.offered(permit_id{2}, permit_id{12}, destination, start);
     CHECK_FALSE(planner.next(start).has_value());
@@ -45,7 +45,7 @@
 // Guards against a run that had not begun at the notice and is lost with its endpoint.
 TEST(evacuation_planner, tries_a_run_again_that_could_not_move_yet)
 {
-    planner.begin(source, {run(1, 3'000, 10), run(2, 3'000, 20)}, start);
+    planner.begin(source, {made_run(1, 3'000, 10), made_run(2, 3'000, 20)}, start);
     planner.offered(permit_id{2}, permit_id{12}, destination, start);
     planner.returned(permit_id{12}, start);
     CHECK(planner.next(start) == permit_id{1});
@@ -59,7 +59,7 @@
 
 TEST(evacuation_planner, leaves_runs_that_end_in_time)
 {
-    planner.begin(source, {run(1, 3'000, 10, 1'000_ms), run(2, 3'000, 5, 1'500_ms)}, start);
+    planner.begin(source, {made_run(1, 3'000, 10, 1'000_ms), made_run(2, 3'000, 5, 1'500_ms)}, start);
     CHECK(planner.next(start) == permit_id{2});
     planner.returned(permit_id{2}, start);
     CHECK_FALSE(planner.next(start).has_value());
@@ -67,14 +67,14 @@
 
 TEST(evacuation_planner, prefers_worth_for_the_time_of_the_copy)
 {
-    planner.begin(source, {run(1, 6'000, 20), run(2, 2'000, 10)}, start);
+    planner.begin(source, {made_run(1, 6'000, 20), made_run(2, 2'000, 10)}, start);
     CHECK(planner.next(start) == permit_id{2});
 }
 
 // Guards against one lost answer that keeps all other runs at the endpoint until it is gone.
 TEST(evacuation_planner, goes_on_when_a_move_takes_too_long)
 {
-    planner.begin(source, {run(1, 3'000, 10), run(2, 3'000, 20)}, start);
+    planner.begin(source, {made_run(1, 3'000, 10), made_run(2, 3'000, 20)}, start);
     planner.offered(permit_id{2}, permit_id{12}, destination, start);
     CHECK(planner.next_deadline() == start + 900_ms);
     planner.expire(start + 900_ms);
@@ -87,9 +87,9 @@
 // Guards against a second sign of the same endpoint that moves runs twice.
 TEST(evacuation_planner, takes_the_first_sign_only)
 {
-    planner.begin(source, {run(1, 3'000, 10)}, start);
+    planner.begin(source, {made_run(1, 3'000, 10)}, start);
     planner.returned(permit_id{1}, start);
-    planner.begin(source, {run(1, 3'000, 10)}, start + 100_ms);
+    planner.begin(source, {made_run(1, 3'000, 10)}, start + 100_ms);
     CHECK_FALSE(planner.next(start).has_value());
 }
 
@@ -113,7 +113,7 @@
                                              std::vector<leaving_run> runs;
                                              for (int each = 0; each < step % 5; ++each)
                                              {
-                                                 runs.push_back(run(++permit, 1'000 + step, step));
+                                                 runs.push_back(made_run(++permit, 1'000 + step, step));
                                              }
                                              driven.begin(endpoint_id{std::to_string(++sources)}, runs, now);
                                          }
--- a/scripts/lint_commands.py
+++ b/scripts/lint_commands.py
@@ -21,7 +21,7 @@
             skip = True
         elif word not in ("-MD", "-c"):
             kept.append(word)
-    return shlex.join(kept + ["-E", "-CC"])
+    return shlex.join(kept + ["-E", "-C"])
 
 
 def main() -> None:
