--- a/libs/decision_core/tests/forwarding_core_test.cpp
+++ b/libs/decision_core/tests/forwarding_core_test.cpp
@@ -59,7 +59,7 @@
 class single_core
 {
   public:
-    single_core() : core_(forwarding_core::make(settings(), {}).value())
+    explicit single_core(fleet_hints hints = {}) : core_(forwarding_core::make(settings(), std::move(hints)).value())
     {
         feed(timer_expired{});
     }
@@ -473,6 +473,26 @@
     POINTERS_EQUAL(nullptr, core.rejection(request));
 }
 
+// Guards against copies over the link between regions, which is too narrow for them and keeps other runs waiting.
+TEST(forwarding_core, moves_runs_within_their_region_only)
+{
+    fleet_hints hints;
+    hints.zones = {{zone_id{"z"}, region_id{"r"}}, {zone_id{"far"}, region_id{"other"}}};
+    single_core split{hints};
+    split.feed(forwarding_configured{configuration(1, {"key"})});
+    split.feed(configuration_confirmed{split.now});
+    listed_instance far = endpoint("w2", writers);
+    far.availability_zone = zone_id{"far"};
+    split.list({endpoint("w1", writers), far});
+    const request_id request = split.ask("/plan/1");
+    CHECK(split.sent(request)->endpoint == endpoint_id{"w1"});
+    split.list({endpoint("w1", writers, true), far});
+    LONGS_EQUAL(0, split.copies.size());
+    split.list({endpoint("w1", writers, true), far, endpoint("w3", writers)});
+    split.pass(200_ms);
+    LONGS_EQUAL(1, split.copies.size());
+}
+
 TEST(forwarding_core, goes_on_when_the_stream_of_a_stopped_run_has_ended)
 {
     core.serve();
--- a/libs/scheduling/src/endpoint_table.cpp
+++ b/libs/scheduling/src/endpoint_table.cpp
@@ -185,7 +185,8 @@
             gaps_.push_back(entry.usual_gap);
         }
     }
-    const auto middle = gaps_.begin() + static_cast<std::ptrdiff_t>(gaps_.size() / 2);
+    // The lower one of two middles, so that one of two engines can be slow.
+    const auto middle = gaps_.begin() + static_cast<std::ptrdiff_t>((gaps_.size() - 1) / 2);
     std::nth_element(gaps_.begin(), middle, gaps_.end());
     median_gap_ = *middle;
 }
