--- a/libs/decision_core/src/forward.cpp
+++ b/libs/decision_core/src/forward.cpp
@@ -279,7 +279,7 @@
 
 void forward::go_on()
 {
-    const move moved = std::move(*move_);
+    const run_move moved = std::move(*move_);
     move_.reset();
     ++moves_;
     state_.emit(drop_forward{attempt_});
--- a/libs/decision_core/src/forward.hpp
+++ b/libs/decision_core/src/forward.hpp
@@ -33,6 +33,22 @@
     duration configuration_age{};
 };
 
+/// @brief A run on its way to another engine.
+struct run_move
+{
+    permit_grant to;
+    std::string source;
+    std::string destination;
+    /// The run has been asked to stop; its stream ends without an end mark.
+    bool stopping = false;
+    bool stopped = false;
+    bool stream_ended = false;
+    /// The engine where the run was goes on with it, since the other one does not hold all of it.
+    bool in_place = false;
+    std::string handle;
+    std::int64_t events = 0;
+};
+
 /// @brief One forwarded request, from admission to its end.
 class forward
 {
@@ -64,22 +80,6 @@
     }
 
   private:
-    /// A run on its way to another engine.
-    struct move
-    {
-        permit_grant to;
-        std::string source;
-        std::string destination;
-        /// The run has been asked to stop; its stream ends without an end mark.
-        bool stopping = false;
-        bool stopped = false;
-        bool stream_ended = false;
-        /// The engine where the run was goes on with it, since the other one does not hold all of it.
-        bool in_place = false;
-        std::string handle;
-        std::int64_t events = 0;
-    };
-
     [[nodiscard]] bool can_move_to(const permit_grant& grant) const;
     void begin_move(const permit_grant& grant);
     void end_move();
@@ -121,7 +121,7 @@
     endpoint_id endpoint_;
     /// Of the endpoint, which may have left the list.
     std::string address_;
-    std::optional<move> move_;
+    std::optional<run_move> move_;
     int moves_ = 0;
     std::int64_t memory_ = 0;
     int attempts_ = 0;
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -232,8 +232,9 @@
             session->end_stream();
             owner_.server_.touch(session);
         }
-        const forwarder_end end{owner_, start_};
         owner_.feed_(forward_completed{start_.attempt, total});
+        owner_.attempts_.erase(start_.attempt);
+        owner_.asked_.erase(start_.request);
     }
     void on_failed(attempt_failure failure, std::string message) override
     {
@@ -268,19 +269,6 @@
   private:
     static constexpr boost::beast::string_view event_stream{"text/event-stream"};
 
-    /// Forgets request and attempt after the core has heard of the end.
-    struct forwarder_end
-    {
-        forwarder& owner;
-        const start_forward& start;
-
-        ~forwarder_end()
-        {
-            owner.attempts_.erase(start.attempt);
-            owner.asked_.erase(start.request);
-        }
-    };
-
     [[nodiscard]] bool streams_events() const
     {
         const auto type = head_[boost::beast::http::field::content_type];
