Use permit_holder for generations, too

Cause: forward and generation asked for permits, renewed and returned them in two copies of the same steps.

Conclusion: one way to a permit.

--- a/libs/decision_core/src/generation.cpp
+++ b/libs/decision_core/src/generation.cpp
@@ -16,8 +16,6 @@
 constexpr duration longest_refusal{500};
 /// Time between two looks at a stream that may have gone silent.
 constexpr duration silence_check_interval{1'000};
-/// Quantile of the output length that the local choice reserves memory for.
-constexpr double local_reserve_quantile = 0.7;
 
 std::string generation_name(const member_update& self, request_id request)
 {
@@ -78,6 +76,7 @@
     add_timer(timer_kind::check_silence, silence_check_interval, 0);
     if (!resumed_)
     {
+        permit_ = std::make_unique<permit_holder>(state_, pools_, work_, print_);
         add_timer(timer_kind::request_timeout, deadline_ - state_.now, 0);
         ask_for_permit();
         return;
@@ -92,103 +91,44 @@
 
 void generation::ask_for_permit()
 {
-    const auto pool = pools_.pool_for(asked_.service);
-    if (!pool)
+    if (!permit_->ask())
     {
         denied(make_error(error_kind::no_endpoint, "no endpoint of service " + asked_.service.value() + " is known",
                           state_.come_back(duration{1'000})));
-        return;
-    }
-    pool_ = *pool;
-    ++step_;
-    waiting_for_permit_ = true;
-    scheduler_answered_ = false;
-    state_.send(pools_.host_of(pool_), permit_request{pool_, work_});
-    add_timer(timer_kind::permit_wait, state_.settings.requests.permit_patience, step_);
-}
-
-void generation::permit_wait_over()
-{
-    if (!waiting_for_permit_)
-    {
-        return;
-    }
-    if (!scheduler_answered_)
-    {
-        choose_locally();
-        return;
     }
-    scheduler_answered_ = false;
-    state_.send(pools_.host_of(pool_), permit_request{pool_, work_});
-    add_timer(timer_kind::permit_wait, state_.settings.requests.permit_keepalive, step_);
-}
-
-void generation::choose_locally()
-{
-    const auto chosen = pools_.choose_locally(pool_, expected_memory());
-    if (!chosen || !state_.quarantine.may_run(print_, *chosen, state_.now))
-    {
-        // Asks again, in case the scheduler is back, and looks for room in the own share meanwhile.
-        state_.send(pools_.host_of(pool_), permit_request{pool_, work_});
-        add_timer(timer_kind::permit_wait, state_.settings.requests.local_retry, step_);
-        return;
-    }
-    state_.send(pools_.host_of(pool_), permit_withdrawal{pool_, asked_.request});
-    permit_grant own;
-    own.request = asked_.request;
-    own.permit = permit_id{state_.random.bits()};
-    own.endpoint = *chosen;
-    permitted(own, false);
 }
 
 void generation::scheduler_moved()
 {
-    if (waiting_for_permit_)
-    {
-        scheduler_answered_ = false;
-        state_.send(pools_.host_of(pool_), permit_request{pool_, work_});
-        return;
-    }
     if (permit_)
     {
-        renew_permit();
+        permit_->scheduler_moved(cursor_.next());
     }
 }
 
 void generation::queued()
 {
-    scheduler_answered_ = true;
+    if (permit_)
+    {
+        permit_->queued();
+    }
 }
 
 void generation::permitted(const permit_grant& grant, bool from_scheduler)
 {
-    const endpoint_entry* entry = state_.directory.find(grant.endpoint);
-    const bool usable = waiting_for_permit_ && entry != nullptr && !entry->leaving &&
-                        state_.quarantine.may_run(print_, grant.endpoint, state_.now);
-    if (!usable)
+    if (permit_ && permit_->take(grant, from_scheduler))
     {
-        if (from_scheduler && (!permit_ || permit_->permit != grant.permit))
-        {
-            state_.send(pools_.host_of(pool_), permit_return{pool_, grant.permit, grant.endpoint, asked_.customer,
-                                                             asked_.work_class, 0, false});
-        }
-        if (waiting_for_permit_)
-        {
-            // The scheduler does not know yet what is known here; asks again after a moment.
-            waiting_for_permit_ = false;
-            add_timer(timer_kind::try_again, state_.settings.requests.local_retry, ++step_);
-        }
-        return;
+        permit_from_scheduler_ = from_scheduler;
+        machine_->states.process_event(generation_events::permitted{grant});
     }
-    waiting_for_permit_ = false;
-    permit_ = grant;
-    permit_from_scheduler_ = from_scheduler;
-    machine_->states.process_event(generation_events::permitted{grant});
 }
 
 void generation::denied(const error& why)
 {
-    waiting_for_permit_ = false;
+    if (permit_)
+    {
+        permit_->denied();
+    }
     machine_->states.process_event(generation_events::denied{why});
 }
 
@@ -207,14 +147,14 @@
     const endpoint_entry* entry = state_.directory.find(grant.endpoint);
     endpoint_ = grant.endpoint;
     address_ = entry->address;
-    memory_ = expected_memory();
+    memory_ = permit_->expected_memory();
     cursor_ = token_cursor{};
     held_.clear();
     attempt_ = state_.next_attempt(attempt_owner::generation, asked_.request);
     state_.ledger.started(endpoint_, memory_, state_.now);
     state_.prefixes.expect(endpoint_, work_.prefixes);
     state_.quarantine.started(attempt_, print_, endpoint_);
-    pools_.attempt_started(pool_, endpoint_, memory_);
+    pools_.attempt_started(permit_->pool(), endpoint_, memory_);
     tracker_.attempt_sent();
     state_.emit(start_generation{attempt_, endpoint_, address_, asked_.model, asked_.prompt, work_.max_tokens,
                                  grant.priority, deadline_});
@@ -407,7 +347,7 @@
         end_attempt(end_of(failure));
         return_permit(false);
     }
-    add_timer(timer_kind::try_again, decision_.delay, ++step_);
+    add_timer(timer_kind::next_attempt, decision_.delay, ++step_);
 }
 
 void generation::schedule_resume()
@@ -437,12 +377,16 @@
         }
         break;
     case timer_kind::permit_wait:
-        if (current)
+    case timer_kind::try_again:
+        if (permit_)
         {
-            permit_wait_over();
+            if (const auto own = permit_->timer(due))
+            {
+                permitted(*own, false);
+            }
         }
         break;
-    case timer_kind::try_again:
+    case timer_kind::next_attempt:
         if (current && resumed_)
         {
             permit_grant existing;
@@ -464,7 +408,7 @@
         check_silence();
         break;
     case timer_kind::renew_permit:
-        if (permit_ && due.step == static_cast<std::uint64_t>(attempts_))
+        if (permit_ && permit_->permit() && due.step == static_cast<std::uint64_t>(attempts_))
         {
             renew_permit();
         }
@@ -479,15 +423,13 @@
     case timer_kind::hedge_due:
     case timer_kind::forward_order:
     case timer_kind::handover:
-    case timer_kind::next_attempt:
         break;
     }
 }
 
 void generation::renew_permit()
 {
-    state_.send(pools_.host_of(pool_), permit_registration{pool_, permit_->permit, endpoint_, work_, cursor_.next(),
-                                                           permit_->priority, duration{}});
+    permit_->renew(cursor_.next(), duration{});
     add_timer(timer_kind::renew_permit, state_.settings.requests.permit_renewal, static_cast<std::uint64_t>(attempts_));
 }
 
@@ -541,10 +483,4 @@
     return text.has_value() ? text.value() : std::string{};
 }
 
-std::int64_t generation::expected_memory() const
-{
-    return work_.prompt_tokens +
-           state_.lengths.total(asked_.work_class, asked_.customer, local_reserve_quantile, 0, work_.max_tokens);
-}
-
 } // namespace parsleyshift::detail
--- a/libs/decision_core/src/generation.hpp
+++ b/libs/decision_core/src/generation.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "core_state.hpp"   // core_state
-#include "pool_manager.hpp" // pool_manager
+#include "core_state.hpp"    // core_state
+#include "permit_holder.hpp" // permit_holder
+#include "pool_manager.hpp"  // pool_manager
 
 #include <parsleyshift/streams/outcome_tracker.hpp> // outcome_tracker
 #include <parsleyshift/streams/token_cursor.hpp>    // token_cursor
@@ -87,8 +88,6 @@
         return asked_.how == delivery::stream;
     }
     void ask_for_permit();
-    void permit_wait_over();
-    void choose_locally();
     void add_timer(timer_kind what, duration wait, std::uint64_t step);
     void note_progress(std::size_t count);
     void announce_start();
@@ -101,7 +100,6 @@
     void finish(outcome what, std::optional<error> why);
     void give_up(outcome what, error why);
     [[nodiscard]] std::string continuation() const;
-    [[nodiscard]] std::int64_t expected_memory() const;
 
     core_state& state_;
     pool_manager& pools_;
@@ -116,13 +114,11 @@
     token_cursor cursor_;
     retry_decision decision_;
 
-    pool_id pool_;
-    std::optional<permit_grant> permit_;
+    /// Empty for a generation that began elsewhere.
+    std::unique_ptr<permit_holder> permit_;
     bool permit_from_scheduler_ = false;
-    /// Raised with each wait for a permit, so that timers of an older wait are ignored.
+    /// Raised with each wait for another attempt or resumption, so that timers of an older wait are ignored.
     std::uint64_t step_ = 0;
-    bool scheduler_answered_ = false;
-    bool waiting_for_permit_ = false;
 
     attempt_id attempt_;
     endpoint_id endpoint_;
--- a/libs/decision_core/src/generation_end.cpp
+++ b/libs/decision_core/src/generation_end.cpp
@@ -13,7 +13,9 @@
     const std::int64_t count = cursor_.next();
     end_attempt(run_end::completed);
     state_.budget_of(asked_.service).succeeded();
-    if (!permit_ || pools_.host_of(pool_) != state_.self().instance)
+    const bool scheduled_here =
+        permit_ && permit_->permit() && pools_.host_of(permit_->pool()) == state_.self().instance;
+    if (!scheduled_here)
     {
         // A scheduler on this instance learns the length from the returned permit.
         state_.lengths.record(asked_.work_class, asked_.customer, count, state_.now);
@@ -37,9 +39,7 @@
 {
     if (permit_)
     {
-        state_.send(pools_.host_of(pool_), permit_return{pool_, permit_->permit, endpoint_, asked_.customer,
-                                                         asked_.work_class, cursor_.next(), completed});
-        permit_.reset();
+        permit_->give_back(cursor_.next(), completed);
     }
 }
 
@@ -51,7 +51,7 @@
         return;
     }
     state_.attempt_over(attempt_, endpoint_, memory_, how);
-    pools_.attempt_ended(pool_, endpoint_, memory_);
+    pools_.attempt_ended(permit_->pool(), endpoint_, memory_);
 }
 
 void generation::cancel_at_engine()
@@ -71,12 +71,8 @@
     {
         cancel_at_engine();
         end_attempt(run_end::stopped);
-        return_permit(false);
-    }
-    else
-    {
-        state_.send(pools_.host_of(pool_), permit_withdrawal{pool_, asked_.request});
     }
+    return_permit(false);
     const char* what = at_engine ? "the engine did not answer in time" : "no endpoint had room in time";
     give_up(tracker_.without_answer(),
             make_error(error_kind::deadline_unreachable, what, state_.come_back(duration{1'000})));
@@ -113,12 +109,8 @@
     {
         cancel_at_engine();
         end_attempt(run_end::stopped);
-        return_permit(false);
-    }
-    else
-    {
-        state_.send(pools_.host_of(pool_), permit_withdrawal{pool_, asked_.request});
     }
+    return_permit(false);
     give_up(tracker_.without_answer(), make_error(error_kind::cancelled, "cancelled by the caller"));
 }
 
