Recognise resends over builds, too

Cause: the fingerprint of a forwarded request used std::hash, which another build may compute otherwise, so that instances would not agree during a release. Found by reading.

Change: stable_hash, as in the rest of the quarantine.

--- a/libs/decision_core/src/forward.cpp
+++ b/libs/decision_core/src/forward.cpp
@@ -2,7 +2,7 @@
 
 #include "call_manager.hpp" // choose_plain_endpoint
 
-#include <parsleyshift/core/hash.hpp> // mix_hash
+#include <parsleyshift/core/hash.hpp> // mix_hash, stable_hash
 
 #include <algorithm> // max, min
 #include <utility>   // move
@@ -19,7 +19,7 @@
 
 fingerprint fingerprint_of(const forward_request& asked, const customer_id& customer)
 {
-    return fingerprint{mix_hash(asked.content, std::hash<customer_id>{}(customer))};
+    return fingerprint{mix_hash(asked.content, stable_hash(customer.value()))};
 }
 
 } // namespace
