Tell a paused reader to go on when announce() has moved what was held

Beside load the test hung in 2 of about 400 runs; a debugger showed all threads idle and the server with everything sent. When the consumer makes room between send() and announce(), announce() itself moves the held elements; then no wake-up of the producer is due any more, and what it has paused stays paused.

Ruled out: the clock and the changed HTTP client, by reading; they were not run apart.

Change: announce() wakes the producer when it has moved all that was held.

--- a/libs/runtime/include/parsleyshift/runtime/channel.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/channel.hpp
@@ -23,7 +23,7 @@
 
     /// @param capacity elements in the ring
     /// @param wake_consumer called on the producer's thread when elements have been added
-    /// @param wake_producer called on the consumer's thread when a producer that holds elements has room again
+    /// @param wake_producer called on either thread when a producer that held elements has room again
     channel(std::size_t capacity, notification wake_consumer, notification wake_producer)
         : ring_(capacity), wake_consumer_(std::move(wake_consumer)), wake_producer_(std::move(wake_producer))
     {
@@ -44,9 +44,10 @@
         if (unannounced_)
         {
             unannounced_ = false;
-            if (!held_.empty())
+            if (!held_.empty() && flush())
             {
-                flush();
+                // A producer that has paused for the held elements is told to go on by nobody else.
+                wake_producer_();
             }
             wake_consumer_();
         }
--- a/libs/runtime/tests/parts_test.cpp
+++ b/libs/runtime/tests/parts_test.cpp
@@ -156,3 +156,25 @@
     CHECK(as_text.line(log_level::warning, log_event::request_failed, hostile, {}).find('\n') == std::string::npos);
     CHECK(as_text.writes(log_level::error) && !as_text.writes(log_level::info));
 }
+
+TEST_GROUP(announced_channel){};
+
+// Guards against a producer that pauses because elements are held back and is never told to go on: the consumer has
+// made room in the meantime, so that announce() itself moves what was held.
+TEST(announced_channel, tells_the_producer_when_announce_moves_what_was_held)
+{
+    int told = 0;
+    channel<int> elements(
+        1, [] {}, [&told] { ++told; });
+    // The ring may hold more than asked for.
+    int sent = 0;
+    while (!elements.congested())
+    {
+        elements.send(++sent);
+    }
+    int taken = 0;
+    CHECK_TRUE(elements.receive(taken));
+    elements.announce();
+    CHECK_FALSE(elements.congested());
+    LONGS_EQUAL(1, told);
+}
