Start no other run for a request whose run has moved

Cause: found by reading the change again. When the engine that was to go on with a stopped run refused it before the first event was delivered, the refusal counted as proof that the request had not run, and a once request was sent afresh: its second run.

Change: a request that has moved has run and is not sent again. end_attempt() uses end_move() in place of its own copy of it.

Before: the new test failed (three sends, two are allowed). After: it passes.

--- a/libs/decision_core/include/parsleyshift/decision_core/forwarding_core.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/forwarding_core.hpp
@@ -27,7 +27,7 @@
 };
 
 /// @brief The settings of a core for forwarded requests: permits expire sooner, since nothing else tells a scheduler
-/// of the end of an instance, and retries stay within `retries_in_window` over all instances.
+/// of the end of an instance, and the retry budgets of all instances together stay below the platform's bound.
 core_settings forwarding_settings_of(core_settings settings);
 
 /// @brief All decisions of an instance that forwards requests, without sockets, threads, globals or clock reads.
--- a/libs/decision_core/src/forward.cpp
+++ b/libs/decision_core/src/forward.cpp
@@ -194,17 +194,13 @@
         return;
     }
     state_.attempt_over(attempt_, endpoint_, memory_, how);
-    if (move_)
-    {
-        permit_->decline(move_->to);
-    }
+    end_move();
     if (permit_)
     {
         pools_.attempt_ended(permit_->pool(), endpoint_, memory_);
         permit_->give_back(tokens(), completed);
     }
     attempt_ = attempt_id{};
-    move_.reset();
 }
 
 bool forward::can_move_to(const permit_grant& grant) const
@@ -282,6 +278,7 @@
     const run_move moved = std::move(*move_);
     move_.reset();
     ++moves_;
+    tracker_.attempt_ran();
     state_.emit(drop_forward{attempt_});
     state_.attempt_over(attempt_, endpoint_, memory_, run_end::stopped);
     pools_.attempt_ended(permit_->pool(), endpoint_, memory_);
@@ -446,7 +443,8 @@
     situation.idempotent = admitted_.where.kind == route_kind::idempotent;
     situation.attempts = attempts_;
     situation.time_left = deadline_ - state_.now;
-    const bool may_run = runs_ < std::max(1, admitted_.where.most_attempts);
+    // A run that moved has run, whatever the engine that was to go on with it proves.
+    const bool may_run = moves_ == 0 && runs_ < std::max(1, admitted_.where.most_attempts);
     retry_decision decision;
     if (may_run)
     {
