Move runs that should end in time after all others, instead of leaving them

The expectation comes from the caller's hint, which is off by a factor of three as often as not.

Change: such runs go last, in the order of worth for tokens as the others. The test that asked that they stay now asks that they come after all others.

--- a/libs/migration/include/parsleyshift/migration/evacuation_planner.hpp
+++ b/libs/migration/include/parsleyshift/migration/evacuation_planner.hpp
@@ -17,7 +17,7 @@
 {
     /// Time from the first sign that an endpoint leaves until it is gone; the shortest notices are 1.5 s.
     duration notice{2'000};
-    /// A run that is expected to end this long before the endpoint is gone stays.
+    /// A run that is expected to end this long before the endpoint is gone moves after all others.
     duration safety{600};
     /// Time for which one run may keep the others of its endpoint waiting; copying the largest run to another zone
     /// takes 0.5 s.
@@ -47,7 +47,8 @@
 ///
 /// Copies from one endpoint share its link. Two at once take as long as one after the other but both end late, and the
 /// last step of a move, during which the run stands still, would wait behind the first copies of others. So one run of
-/// each endpoint moves at a time; the one that is worth most for its tokens goes first, and runs that end in time stay.
+/// each endpoint moves at a time; the one that is worth most for its tokens goes first. Runs that should end in time go
+/// last, since the expected length is seldom right.
 class evacuation_planner
 {
   public:
--- a/libs/migration/src/evacuation_planner.cpp
+++ b/libs/migration/src/evacuation_planner.cpp
@@ -24,11 +24,16 @@
     }
     evacuation& begun = found->second;
     begun.over = now + settings_.notice;
-    const duration stays = settings_.notice - settings_.safety;
-    std::erase_if(runs, [stays](const leaving_run& run) { return run.expected_left < stays; });
+    const duration in_time = settings_.notice - settings_.safety;
     std::sort(runs.begin(), runs.end(),
-              [](const leaving_run& left, const leaving_run& right)
+              [in_time](const leaving_run& left, const leaving_run& right)
               {
+                  const bool left_ends = left.expected_left < in_time;
+                  const bool right_ends = right.expected_left < in_time;
+                  if (left_ends != right_ends)
+                  {
+                      return left_ends;
+                  }
                   const double left_worth = worth_for_tokens(left);
                   const double right_worth = worth_for_tokens(right);
                   return left_worth != right_worth ? left_worth < right_worth : left.permit < right.permit;
