Count a second death of an endpoint that is back within a second

Observations of one endpoint in adjacent seconds count as one death, since two instances see one death up to some hundred milliseconds apart.

Ruled out: the process start number of the endpoint's report. It lags behind a restart by up to a report's interval, so that the run begins without it.

Change: a run remembers the latest death of its endpoint that is marked for its request when it begins. That the run begins proves that the endpoint has started again, so its own death is another one: it is put far enough after the earlier one to stay apart whatever other instances saw. The times remain the only thing that is spread, and merging commutes as before.

--- a/libs/quarantine/include/parsleyshift/quarantine/crash_quarantine.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/crash_quarantine.hpp
@@ -20,7 +20,8 @@
     /// Time for which a death counts against a fingerprint.
     duration keep{600'000};
     /// Steps in which times of death are kept; observations of one endpoint in the same or in adjacent steps are one
-    /// death, since instances see a broken link within a few hundred milliseconds of each other.
+    /// death, since instances see a broken link within a few hundred milliseconds of each other. The death of a run
+    /// that began after an earlier death was known is another one, however soon it follows.
     duration same_death{1'000};
     /// Time after a broken run in which the endpoint may still be found dead.
     duration death_delay{10'000};
@@ -118,6 +119,8 @@
         endpoint_id endpoint;
         /// Set once the link broke.
         std::optional<time_point> broke;
+        /// The latest death of the endpoint that was marked when the run began; the endpoint has started again since.
+        std::optional<time_point> death_before;
     };
     using attempt_list = std::vector<attempt_id>;
 
@@ -130,6 +133,7 @@
     [[nodiscard]] std::size_t marks_of(fingerprint request, time_point now) const;
     [[nodiscard]] std::vector<run> runs_at(const endpoint_id& endpoint, time_point now) const;
     [[nodiscard]] time_point step_of(time_point when) const;
+    [[nodiscard]] time_point death_time(const run& dead, time_point now) const;
     suspicion& suspicion_of(fingerprint request, time_point now);
     void make_room(time_point now);
 
--- a/libs/quarantine/include/parsleyshift/quarantine/suspicion.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/suspicion.hpp
@@ -4,8 +4,9 @@
 #include <parsleyshift/core/ids.hpp>      // endpoint_id, fingerprint
 #include <parsleyshift/messages/peer.hpp> // quarantine_notice
 
-#include <cstddef> // size_t
-#include <vector>  // vector
+#include <cstddef>  // size_t
+#include <optional> // optional
+#include <vector>   // vector
 
 namespace parsleyshift
 {
@@ -30,6 +31,8 @@
     /// @brief Distinct deaths within `keep` before the latest one, until `keep` after it; observations of one endpoint
     /// in adjacent steps are one death. O(observations squared), at most 64.
     [[nodiscard]] std::size_t deaths(duration step, duration keep, time_point now) const;
+    /// @brief Time of the latest observed death of an endpoint that is not cleared. O(observations).
+    [[nodiscard]] std::optional<time_point> latest_at(const endpoint_id& endpoint) const;
     /// @brief Time of the latest death that is not cleared; the epoch when there is none.
     [[nodiscard]] time_point latest() const noexcept;
     /// @brief Time up to which deaths are cleared.
--- a/libs/quarantine/src/crash_quarantine.cpp
+++ b/libs/quarantine/src/crash_quarantine.cpp
@@ -22,12 +22,16 @@
 
 void crash_quarantine::started(attempt_id attempt, fingerprint request, const endpoint_id& endpoint)
 {
-    const auto [known, added] = runs_.try_emplace(attempt, run{request, endpoint, std::nullopt});
+    const auto [known, added] = runs_.try_emplace(attempt, run{request, endpoint, std::nullopt, std::nullopt});
     if (!added)
     {
         known->second.broke = std::nullopt;
         return;
     }
+    if (const auto suspected = suspicions_.find(request); suspected != suspicions_.end())
+    {
+        known->second.death_before = suspected->second.latest_at(endpoint);
+    }
     by_endpoint_[endpoint].push_back(attempt);
     by_request_[request].push_back(attempt);
 }
@@ -132,13 +136,25 @@
     return when - since_epoch % policy_.same_death;
 }
 
+time_point crash_quarantine::death_time(const run& dead, time_point now) const
+{
+    // The link breaks with the death; `now` is when the death is known, which differs between instances.
+    const time_point seen = step_of(dead.broke.value_or(now));
+    if (!dead.death_before)
+    {
+        return seen;
+    }
+    // Other instances may have put the earlier death one step later; beyond the step after that nothing joins the two.
+    const time_point apart = *dead.death_before + 3 * policy_.same_death;
+    return std::max(seen, apart);
+}
+
 std::vector<quarantine_notice> crash_quarantine::endpoint_died(const endpoint_id& endpoint, time_point now)
 {
     std::vector<fingerprint> marked;
     for (const run& one : runs_at(endpoint, now))
     {
-        // The link breaks with the death; `now` is when the death is known, which differs between instances.
-        suspicion_of(one.request, now).mark(endpoint, step_of(one.broke.value_or(now)));
+        suspicion_of(one.request, now).mark(endpoint, death_time(one, now));
         marked.push_back(one.request);
     }
     std::sort(marked.begin(), marked.end());
--- a/libs/quarantine/src/suspicion.cpp
+++ b/libs/quarantine/src/suspicion.cpp
@@ -1,6 +1,6 @@
 #include <parsleyshift/quarantine/suspicion.hpp> // suspicion
 
-#include <algorithm> // any_of, lower_bound, max
+#include <algorithm> // any_of, find_if, lower_bound, max
 
 namespace parsleyshift
 {
@@ -56,6 +56,13 @@
     return count;
 }
 
+std::optional<time_point> suspicion::latest_at(const endpoint_id& endpoint) const
+{
+    const auto found = std::find_if(observations_.rbegin(), observations_.rend(),
+                                    [&endpoint](const observation& known) { return known.endpoint == endpoint; });
+    return found == observations_.rend() ? std::nullopt : std::optional{found->when};
+}
+
 time_point suspicion::latest() const noexcept
 {
     return observations_.empty() ? time_point{} : observations_.back().when;
