Take nothing from the retry budget for an attempt without a connection

Ruled out: a rule for all users of the retry policy.

Change: backoff_policy::free_without_connection, set for forwarded requests, which count attempts and stop at four.

--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -37,6 +37,8 @@
     settings.retries.share = 0.1;
     settings.retries.floor = 2;
     settings.membership.join_retry = duration{300};
+    // Engines die faster than the list tells while its source is down; requests met up to four dead ones.
+    settings.backoff.free_without_connection = true;
     settings.membership.busy_interval = duration{500};
     settings.entry.overloaded_percent = unavailable_percent - 1;
     return settings;
--- a/libs/routing/include/parsleyshift/routing/retry_policy.hpp
+++ b/libs/routing/include/parsleyshift/routing/retry_policy.hpp
@@ -97,6 +97,9 @@
     /// Mean delay before the first restart; doubles with each further one.
     duration base{25};
     duration longest{2'000};
+    /// An attempt that got no connection has reached no endpoint, so that the next one need not count as a repeat. Only
+    /// for callers that count attempts: nothing else bounds these restarts.
+    bool free_without_connection = false;
     /// A restart begins only when this much time is left after the delay.
     duration least_time_left{50};
 };
--- a/libs/routing/src/retry_policy.cpp
+++ b/libs/routing/src/retry_policy.cpp
@@ -39,7 +39,8 @@
     {
         return {};
     }
-    if (!budget.try_spend())
+    const bool free = policy_.free_without_connection && failed.failure == attempt_failure::connect_failed;
+    if (!free && !budget.try_spend())
     {
         return {retry_step::give_up, duration{}, true};
     }
--- a/libs/routing/tests/retry_test.cpp
+++ b/libs/routing/tests/retry_test.cpp
@@ -162,6 +162,24 @@
     CHECK(refused.budget_spent);
 }
 
+// Guards against requests that are refused because endpoints have died, although none has been asked to repeat one; and
+// against endless attempts where every endpoint refuses connections.
+TEST(retry, attempts_without_a_connection_can_be_free_but_are_counted)
+{
+    while (budget.try_spend())
+    {
+    }
+    retry_situation failed = failed_with(attempt_failure::connect_failed);
+    CHECK(policy.decide(failed, budget, random).step == retry_step::give_up);
+    backoff_policy free;
+    free.free_without_connection = true;
+    const budgeted_retry lenient{free};
+    CHECK(lenient.decide(failed, budget, random).step == retry_step::restart);
+    CHECK(lenient.decide(failed_with(attempt_failure::not_started), budget, random).step == retry_step::give_up);
+    failed.attempts = free.most_attempts;
+    CHECK(lenient.decide(failed, budget, random).step == retry_step::give_up);
+}
+
 // Guards against retries that come back together or after their deadline.
 TEST(retry, delays_grow_are_spread_and_leave_time)
 {
