Ask engines whether they leave while the list's source is silent

Ruled out: the engines' answers (nothing in them tells before 421), and health checks (each takes a slot).

Change: source_watch (decision_core) emits watch_endpoint for the engines of the pools that this instance schedules, once the source has failed or is later than its watch allows (1.15 s), and ends the watches when it answers. load_reader (forwarding) asks every 300 ms; the platform's translator reads the report. An engine that says that it leaves is evacuated like one that the list names. release_copy, which nothing emitted, is removed from actions, concept and translators.

What is left falls into the first second of a silence, before it is known, and into machines that are cut off from everything.

--- a/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
@@ -65,6 +65,9 @@
     /// Time after the service's return in which endpoints that vanished from the list while it was down are kept; they
     /// are listed again within 2 s when they live.
     duration lapse_grace{2'200};
+    /// Time after an answer of the configuration's source from which engines are asked themselves whether they leave: a
+    /// watch of the source is answered within 1 s, and takes up to 0.1 s more.
+    duration source_overdue{1'150};
     /// Pause of a stream after which its caller has given up, as a multiple of the route's objective, and at least.
     int abandon_objectives = 4;
     duration abandon_after{2'000};
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -4,6 +4,7 @@
 #include "forward_manager.hpp" // forward_manager
 #include "lapse_filter.hpp"    // lapse_filter
 #include "pool_manager.hpp"    // pool_manager
+#include "source_watch.hpp"    // source_watch
 
 #include <parsleyshift/core/hash.hpp> // rendezvous_score
 
@@ -36,9 +37,9 @@
     // for each instance.
     settings.retries.share = 0.1;
     settings.retries.floor = 2;
-    settings.membership.join_retry = duration{300};
     // Engines die faster than the list tells while its source is down; requests met up to four dead ones.
     settings.backoff.free_without_connection = true;
+    settings.membership.join_retry = duration{300};
     settings.membership.busy_interval = duration{500};
     settings.entry.overloaded_percent = unavailable_percent - 1;
     return settings;
@@ -52,7 +53,8 @@
         : state_(std::move(settings), std::move(tokens)),
           pools_(state_),
           forwards_(state_, pools_),
-          lapses_(state_.settings.forwarding.lapse_grace)
+          lapses_(state_.settings.forwarding.lapse_grace),
+          source_watch_(state_, pools_)
     {
         pools_.enable_moves();
         set_hints(std::move(hints));
@@ -79,7 +81,8 @@
     [[nodiscard]] time_point next_deadline() const
     {
         return std::min({state_.members.next_deadline(), state_.health.next_evaluation(), pools_.next_deadline(),
-                         state_.timers.next(), lapses_.next_deadline(), next_purge_, next_readiness_, stop_check_});
+                         state_.timers.next(), lapses_.next_deadline(), source_watch_.next_deadline(), next_purge_,
+                         next_readiness_, stop_check_});
     }
     [[nodiscard]] bool ready(time_point now) const
     {
@@ -155,6 +158,7 @@
     void on(const configuration_confirmed& confirmed)
     {
         forwards_.confirm(confirmed.as_of);
+        source_watch_.answered();
         if (lapses_.source_answered(state_.now))
         {
             state_.log(log_event::dependency_regained, "the configuration service answers again");
@@ -167,6 +171,17 @@
             state_.log(log_event::dependency_lost, "the configuration service does not answer");
         }
         lapses_.source_lost();
+        source_watch_.failed();
+    }
+    /// Only whether the endpoint leaves is of interest: its size is configured, and permits tell its load.
+    void on(const load_reported& reported)
+    {
+        const endpoint_entry* entry = state_.directory.find(reported.report.endpoint);
+        if (entry != nullptr && !entry->leaving && reported.report.leaving)
+        {
+            state_.endpoint_leaves(reported.report.endpoint);
+            pools_.endpoint_leaving(reported.report.endpoint);
+        }
     }
     void on(const instances_listed& listed)
     {
@@ -394,6 +409,7 @@
             }
         }
         pools_.advance();
+        source_watch_.update();
         if (next_readiness_ <= state_.now)
         {
             next_readiness_ = state_.now + state_.settings.forwarding.readiness_check;
@@ -448,6 +464,7 @@
     detail::pool_manager pools_;
     detail::forward_manager forwards_;
     detail::lapse_filter lapses_;
+    detail::source_watch source_watch_;
     fleet_hints hints_;
     bool contact_seeds_ = true;
     bool topology_changed_ = false;
--- /dev/null
+++ b/libs/decision_core/src/source_watch.cpp
@@ -0,0 +1,81 @@
+#include "source_watch.hpp" // source_watch
+
+#include <algorithm> // min
+#include <utility>   // move
+
+namespace parsleyshift::detail
+{
+namespace
+{
+
+constexpr duration update_interval{300};
+
+} // namespace
+
+void source_watch::answered()
+{
+    due_ = state_.now + state_.settings.forwarding.source_overdue;
+    next_update_ = overdue_ ? state_.now : next_update_;
+    overdue_ = false;
+}
+
+void source_watch::failed()
+{
+    due_ = std::min(due_, state_.now);
+}
+
+void source_watch::update()
+{
+    if (!overdue_ && due_ <= state_.now)
+    {
+        overdue_ = true;
+        next_update_ = state_.now;
+    }
+    if (state_.now < next_update_)
+    {
+        return;
+    }
+    next_update_ = overdue_ ? state_.now + update_interval : never;
+    address_table now_wanted;
+    if (overdue_)
+    {
+        now_wanted = wanted();
+    }
+    for (const auto& [endpoint, address] : watched_)
+    {
+        if (!now_wanted.contains(endpoint))
+        {
+            state_.emit(watch_endpoint{endpoint, {}, true, false});
+        }
+    }
+    for (const auto& [endpoint, address] : now_wanted)
+    {
+        if (!watched_.contains(endpoint))
+        {
+            state_.emit(watch_endpoint{endpoint, address, true, true});
+        }
+    }
+    watched_ = std::move(now_wanted);
+}
+
+source_watch::address_table source_watch::wanted()
+{
+    address_table engines;
+    for (const pool_id& pool : pools_.hosted())
+    {
+        if (pools_.host_of(pool) != state_.self().instance)
+        {
+            continue;
+        }
+        for (const endpoint_entry* entry : state_.directory.members_of(pool))
+        {
+            if (!entry->leaving)
+            {
+                engines.emplace(entry->endpoint, entry->address);
+            }
+        }
+    }
+    return engines;
+}
+
+} // namespace parsleyshift::detail
--- a/libs/decision_core/tests/forwarding_moves_test.cpp
+++ b/libs/decision_core/tests/forwarding_moves_test.cpp
@@ -2,6 +2,7 @@
 
 #include "single_core.hpp" // single_core, core_fixture
 
+#include <set>    // set
 #include <vector> // vector
 
 using namespace parsleyshift;
@@ -119,3 +120,38 @@
     LONGS_EQUAL(2, core.times_sent(request));
     CHECK(how(request) == outcome::failed);
 }
+
+// Guards against a run that is lost with its engine because the list of endpoints, which would tell that the engine
+// leaves, is not to be had.
+TEST(forwarding_moves, asks_engines_whether_they_leave_while_the_list_is_out_of_date)
+{
+    core.serve();
+    const request_id request = core.ask("/plan/1");
+    const start_forward first = *core.sent(request);
+    core.pass(1'140_ms);
+    CHECK_TRUE(core.watched.empty());
+    core.pass(20_ms);
+    CHECK(core.watched == (std::set<endpoint_id>{endpoint_id{"w1"}, endpoint_id{"w2"}}));
+    load_report report;
+    report.endpoint = first.endpoint;
+    core.feed(load_reported{report});
+    LONGS_EQUAL(0, core.copies.size());
+    report.leaving = true;
+    core.feed(load_reported{report});
+    LONGS_EQUAL(1, core.copies.size());
+    core.feed(configuration_confirmed{core.now});
+    core.pass(1_ms);
+    CHECK_TRUE(core.watched.empty());
+}
+
+// Guards against seconds of silence before engines are asked, when the source says that it cannot answer.
+TEST(forwarding_moves, asks_engines_at_once_when_the_source_fails)
+{
+    core.serve();
+    core.ask("/plan/1");
+    core.feed(configuration_unavailable{});
+    LONGS_EQUAL(2, core.watched.size());
+    core.list({endpoint("w1", writers), endpoint("w3", writers)});
+    core.pass(400_ms);
+    CHECK(core.watched == (std::set<endpoint_id>{endpoint_id{"w1"}, endpoint_id{"w3"}}));
+}
--- a/libs/decision_core/tests/single_core.hpp
+++ b/libs/decision_core/tests/single_core.hpp
@@ -8,6 +8,7 @@
 #include <algorithm> // count_if
 #include <map>       // map
 #include <optional>  // optional
+#include <set>       // set
 #include <string>    // string
 #include <variant>   // get_if
 #include <vector>    // vector
@@ -154,6 +155,8 @@
     std::map<std::uint64_t, request_rejected> rejections;
     std::vector<entry_answer> entries;
     std::vector<copy_run> copies;
+    /// Endpoints whose load the core asks for.
+    std::set<endpoint_id> watched;
     bool rejected_twice = false;
     bool stopped = false;
 
@@ -185,6 +188,10 @@
         {
             copies.push_back(std::move(*copy));
         }
+        else if (const auto* watch = std::get_if<watch_endpoint>(&each))
+        {
+            watch->enabled ? void(watched.insert(watch->endpoint)) : void(watched.erase(watch->endpoint));
+        }
         else if (std::holds_alternative<stop_complete>(each))
         {
             stopped = true;
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -54,7 +54,6 @@
     void handle(const deliver_forward& deliver);
     void handle(const request_rejected& rejected);
     void handle(const copy_run& copy);
-    void handle(const release_copy& release);
     void flush()
     {
         server_.flush();
@@ -437,19 +436,6 @@
                   });
 }
 
-template <forwarding_protocol P>
-void forwarder<P>::handle(const release_copy& release)
-{
-    const endpoint_call wanted = protocol_.release_call(release);
-    http_call call;
-    call.address = release.source;
-    call.text = request_text(wanted.method, wanted.target, release.source, wanted.body);
-    call.answer_by = millisecond_clock::now() + copy_timeout;
-    call.body_limit = max_copy_answer;
-    // The memory is freed after some seconds in any case.
-    client_.start(std::move(call), [](const http_result& /*answer*/) {});
-}
-
 template <forwarding_protocol P>
 void forwarder<P>::handle(const drop_forward& drop)
 {
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
@@ -2,6 +2,7 @@
 
 #include <parsleyshift/core/error.hpp>           // result
 #include <parsleyshift/messages/action.hpp>      // request_rejected, entry_answer
+#include <parsleyshift/messages/endpoint.hpp>    // load_report
 #include <parsleyshift/messages/forward.hpp>     // forward_request, start_forward
 #include <parsleyshift/messages/request.hpp>     // entry_query
 #include <parsleyshift/messages/store.hpp>       // store_page, store_changes, store_entry
@@ -49,7 +50,7 @@
 concept forwarding_protocol = requires(const P& protocol, const http_request& asked, const start_forward& attempt,
                                        duration left, const response_head& head, std::string& out,
                                        std::string_view field, const request_rejected& rejected,
-                                       const entry_answer& entries, const copy_run& copy, const release_copy& release)
+                                       const entry_answer& entries, const copy_run& copy)
 {
     // A caller's request, decoded once; the id and the content hash are set by the caller of the function.
     {
@@ -71,9 +72,13 @@
     {
         protocol.read_copy(unsigned{}, field, bool{})
         } -> std::same_as<run_copied>;
+    // What an endpoint says of its load; the endpoint's id is set by the caller of the function.
     {
-        protocol.release_call(release)
+        protocol.load_call()
         } -> std::same_as<endpoint_call>;
+    {
+        protocol.read_load(unsigned{}, field)
+        } -> std::same_as<result<load_report>>;
     {
         protocol.rejection(rejected)
         } -> std::same_as<own_answer>;
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
@@ -3,6 +3,7 @@
 #include <parsleyshift/core/clock.hpp>                    // millisecond_clock
 #include <parsleyshift/decision_core/forwarding_core.hpp> // forwarding_core
 #include <parsleyshift/forwarding/forwarder.hpp>          // forwarder
+#include <parsleyshift/forwarding/load_reader.hpp>        // load_reader
 #include <parsleyshift/forwarding/store_reader.hpp>       // store_reader
 #include <parsleyshift/records/forwarder_settings.hpp>    // forwarder_settings
 #include <parsleyshift/runtime/buffered_sink.hpp>         // buffered_sink
@@ -60,6 +61,8 @@
           forwarder_(
               context_, caller_options(settings_), endpoint_options(), protocol_, figures_,
               [this](event what) { feed(std::move(what)); }, [this] { end_batch(); }),
+          loads_(
+              context_, protocol_, [this](event what) { feed(std::move(what)); }, [this] { end_batch(); }),
           store_(
               context_, settings_.store_address, protocol_, seed,
               [this](const zone_id& zone) { return region_of(zone); }, [this](event what) { feed(std::move(what)); },
@@ -226,9 +229,9 @@
     {
         forwarder_.handle(copy);
     }
-    void carry_out(release_copy& release)
+    void carry_out(watch_endpoint& wanted)
     {
-        forwarder_.handle(release);
+        loads_.handle(wanted);
     }
     void carry_out(entry_answer& answer)
     {
@@ -260,6 +263,7 @@
     void carry_out(stop_complete& /*complete*/)
     {
         store_.close();
+        loads_.close();
         // The last answer may still have to be written.
         forwarder_.flush();
         forwarder_.server().finish([this] { context_.stop(); });
@@ -466,6 +470,7 @@
     channel<inbound_event> peer_events_;
     peer_network peers_;
     forwarder<P> forwarder_;
+    load_reader<P> loads_;
     store_reader<P> store_;
     local_handler entry_handler_;
     local_handler readiness_handler_;
--- a/libs/messages/include/parsleyshift/messages/action.hpp
+++ b/libs/messages/include/parsleyshift/messages/action.hpp
@@ -304,6 +304,6 @@
                             stream_started, stream_tokens, stream_ended, whole_answer, call_answer, request_rejected,
                             entry_answer, key_answer, cancel_answer, send_to_peer, read_configuration, watch_endpoint,
                             send_placement_order, observe, request_finished, write_log, stop_complete, operator_answer,
-                            start_forward, drop_forward, deliver_forward, copy_run, release_copy>;
+                            start_forward, drop_forward, deliver_forward, copy_run>;
 
 } // namespace parsleyshift
--- a/libs/messages/include/parsleyshift/messages/forward.hpp
+++ b/libs/messages/include/parsleyshift/messages/forward.hpp
@@ -265,14 +265,6 @@
     bool stop = false;
 };
 
-/// @brief Free the memory that an engine and its copies hold under a handle.
-struct release_copy
-{
-    /// "ip:port" of the engine that the run was copied from.
-    std::string source;
-    std::string handle;
-};
-
 /// @brief Send a forwarded request to an endpoint.
 struct start_forward
 {
--- a/libs/runtime/src/daemon_io.cpp
+++ b/libs/runtime/src/daemon_io.cpp
@@ -103,10 +103,6 @@
 {
     return nowhere;
 }
-constexpr std::size_t thread_of(const release_copy&)
-{
-    return nowhere;
-}
 /// Everything else is an answer to a caller.
 template <class Answer>
 constexpr std::size_t thread_of(const Answer& answer) requires requires
