Let one instance of each region read the store for the others

Cause: each instance watched the store by itself.

Ruled out: pushing changes with their age (nothing bounds how long a message was on its way, and keys must not be believed in for longer than the store proves); two readers a region (four of the nine instances of a site would read, so that little is saved); a longer watch (a reading must stay younger than 4.3 s at the followers, too).

Change: source_relay (configuration). A follower pulls from the live peer of its region with the highest rendezvous score; the peer answers with the next reading of its own, or at once when the follower is behind. The answer says how old the reading is, and the follower dates it back by that age from the moment of its question, so that no clocks are compared and a late answer only looks older. A follower that gets no answer within 1.2 s, or one that says that the peer cannot tell, reads the store itself for 2 s, the first time without waiting for changes; when the store refuses it, it asks the peer again at once. The watch waits 0.7 s instead of 1 s. A change that a later page of a listing had shown is kept for followers, too. Two peer messages, source_pull and source_answer.

--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -15,7 +15,7 @@
 
 store_watch::store_watch(store_watch_settings settings, std::uint64_t seed) : settings_(settings), random_(seed) {}
 
-store_call store_watch::next(time_point now)
+store_call store_watch::next(time_point now, bool in_haste)
 {
     call_began_ = now;
     store_call call;
@@ -23,7 +23,7 @@
     {
         call.what = store_call::kind::watch;
         call.after = as_of_;
-        call.wait = settings_.watch_wait;
+        call.wait = in_haste ? duration{} : settings_.watch_wait;
     }
     else
     {
@@ -87,6 +87,9 @@
     items_ = std::move(listing_);
     listing_.clear();
     as_of_ = listing_as_of_;
+    recent_.clear();
+    recent_bytes_ = 0;
+    recent_from_ = as_of_;
     confirmed_ = std::max(confirmed_, listing_began_);
     listed_ = true;
 }
@@ -100,26 +103,79 @@
     }
     for (const store_change& change : answer.changes)
     {
-        const auto known = items_.find(change.key);
-        const bool older = known != items_.end() && change.changed <= known->second.changed;
-        if (older)
-        {
-            continue;
-        }
-        changed_.push_back(change.key);
-        if (change.value)
-        {
-            items_.insert_or_assign(change.key, store_item{change.key, *change.value, change.changed});
-        }
-        else
-        {
-            items_.erase(change.key);
-        }
+        apply({change.key, change.value.value_or(std::string{}), !change.value.has_value(), change.changed});
     }
     as_of_ = answer.as_of;
     confirmed_ = std::max(confirmed_, call_began_);
 }
 
+void store_watch::take_relayed(const source_answer& answer, time_point asked)
+{
+    if (answer.as_of < as_of_)
+    {
+        return;
+    }
+    for (const source_change& change : answer.changes)
+    {
+        apply(change);
+    }
+    as_of_ = answer.as_of;
+    confirmed_ = std::max(confirmed_, asked - answer.age);
+}
+
+source_answer store_watch::changes_since(revision known, time_point now) const
+{
+    source_answer answer;
+    answer.available = listed_ && known >= recent_from_ && known <= as_of_;
+    answer.as_of = as_of_;
+    if (!answer.available)
+    {
+        return answer;
+    }
+    answer.age = now - confirmed_;
+    for (const source_change& change : recent_)
+    {
+        if (change.changed > known)
+        {
+            answer.changes.push_back(change);
+        }
+    }
+    return answer;
+}
+
+void store_watch::apply(const source_change& change)
+{
+    // Also what a later page of a listing has shown already: a peer may have read its own before.
+    remember(change);
+    const auto known = items_.find(change.key);
+    const bool older = known != items_.end() && change.changed <= known->second.changed;
+    if (older)
+    {
+        return;
+    }
+    changed_.push_back(change.key);
+    if (change.removed)
+    {
+        items_.erase(change.key);
+    }
+    else
+    {
+        items_.insert_or_assign(change.key, store_item{change.key, change.value, change.changed});
+    }
+}
+
+void store_watch::remember(const source_change& change)
+{
+    recent_.push_back(change);
+    recent_bytes_ += change.key.size() + change.value.size();
+    while (recent_bytes_ > settings_.most_recent_bytes)
+    {
+        recent_from_ = std::max(recent_from_, recent_.front().changed);
+        recent_bytes_ -= recent_.front().key.size() + recent_.front().value.size();
+        recent_.pop_front();
+    }
+}
+
 void store_watch::history_dropped()
 {
     failures_ = 0;
--- a/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
@@ -66,7 +66,7 @@
     /// are listed again within 2 s when they live.
     duration lapse_grace{2'200};
     /// Time after an answer of the configuration's source from which engines are asked themselves whether they leave: a
-    /// watch of the source is answered within 1 s, and takes up to 0.1 s more.
+    /// watch of the source is answered within 0.7 s, and takes up to 0.3 s more while the source is slow.
     duration source_overdue{1'150};
     /// Pause of a stream after which its caller has given up, as a multiple of the route's objective, and at least.
     int abandon_objectives = 4;
--- a/libs/decision_core/include/parsleyshift/decision_core/forwarding_core.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/forwarding_core.hpp
@@ -1,14 +1,16 @@
 #pragma once
 
+#include <parsleyshift/configuration/source_relay.hpp>  // source_peer
 #include <parsleyshift/core/clock.hpp>                  // time_point
 #include <parsleyshift/core/error.hpp>                  // result
 #include <parsleyshift/decision_core/core_settings.hpp> // core_settings
 #include <parsleyshift/messages/action.hpp>             // action
 #include <parsleyshift/messages/event.hpp>              // event
 
-#include <memory> // unique_ptr
-#include <string> // string
-#include <vector> // vector
+#include <memory>   // unique_ptr
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
 
 namespace parsleyshift
 {
@@ -56,6 +58,9 @@
     [[nodiscard]] bool ready(time_point now) const;
     /// @brief True once a stop is planned.
     [[nodiscard]] bool stopping() const;
+    /// @brief The peer through which this instance learns what the configuration's source says, so that one instance of
+    /// each region reads it; nothing when that is this instance.
+    [[nodiscard]] std::optional<source_peer> source_reader() const;
     /// @brief Bounds on callers' input in force.
     [[nodiscard]] const forwarding_bounds& bounds() const;
     /// @brief Replaces the addresses to join through.
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -92,6 +92,26 @@
     {
         return state_.stopping;
     }
+    [[nodiscard]] std::optional<source_peer> source_reader() const
+    {
+        const member_update* best = nullptr;
+        std::uint64_t highest = 0;
+        for (const member_update& member : state_.members.members())
+        {
+            const std::uint64_t score = rendezvous_score("source reader", member.instance.value());
+            const bool able = member.state == member_state::alive && member.region == state_.self().region;
+            if (able && (best == nullptr || score > highest))
+            {
+                best = &member;
+                highest = score;
+            }
+        }
+        if (best == nullptr || best->instance == state_.self().instance || best->peer_address.empty())
+        {
+            return std::nullopt;
+        }
+        return source_peer{best->instance, best->peer_address};
+    }
     [[nodiscard]] const forwarding_bounds& bounds() const
     {
         static const forwarding_bounds usual;
@@ -512,6 +532,11 @@
     return parts_->stopping();
 }
 
+std::optional<source_peer> forwarding_core::source_reader() const
+{
+    return parts_->source_reader();
+}
+
 const forwarding_bounds& forwarding_core::bounds() const
 {
     return parts_->bounds();
--- a/libs/decision_core/tests/single_core.hpp
+++ b/libs/decision_core/tests/single_core.hpp
@@ -147,6 +147,21 @@
     {
         return core_.ready(now);
     }
+    [[nodiscard]] std::optional<source_peer> source_reader() const
+    {
+        return core_.source_reader();
+    }
+    /// A peer says what it knows of itself.
+    void hear_of(const std::string& peer, const region_id& region, member_state state)
+    {
+        member_update told;
+        told.instance = instance_id{peer};
+        told.started = incarnation{1};
+        told.peer_address = "10.1.0.1:81";
+        told.region = region;
+        told.state = state;
+        feed(peer_received{{told.instance, told.started, told.peer_address, revision{}, member_updates{{told}}}});
+    }
 
     time_point now = start;
     std::vector<start_forward> starts;
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
@@ -63,10 +63,7 @@
               [this](event what) { feed(std::move(what)); }, [this] { end_batch(); }),
           loads_(
               context_, protocol_, [this](event what) { feed(std::move(what)); }, [this] { end_batch(); }),
-          store_(
-              context_, settings_.store_address, protocol_, seed,
-              [this](const zone_id& zone) { return region_of(zone); }, [this](event what) { feed(std::move(what)); },
-              [this](const error& why) { reject_item(why); }, [this] { end_batch(); }),
+          store_(context_, settings_.store_address, protocol_, seed, surroundings_of_store()),
           entry_handler_([this](const auto& session, const http_request& asked) { answer_entry(session, asked); },
                          [this] { end_batch(); }),
           readiness_handler_([this](const auto& session, const http_request& asked)
@@ -269,15 +266,51 @@
         forwarder_.server().finish([this] { context_.stop(); });
     }
 
+    typename store_reader<P>::surroundings surroundings_of_store()
+    {
+        return {[this](const zone_id& zone) { return region_of(zone); },
+                [this] { return core_.source_reader(); },
+                [this](const source_peer& to, peer_message message)
+                {
+                    send_to_peer sent{to.instance, to.address, std::move(message)};
+                    peers_.send(sent, revision{});
+                },
+                [this](event what) { feed(std::move(what)); },
+                [this](const error& why) { reject_item(why); },
+                [this]
+                {
+                    end_batch();
+                }};
+    }
     void drain_peers()
     {
         inbound_event taken;
         while (peer_events_.receive(taken))
         {
-            feed(std::move(taken.what));
+            const auto* received = std::get_if<peer_received>(&taken.what);
+            if (received == nullptr || !relay(received->envelope))
+            {
+                feed(std::move(taken.what));
+            }
         }
         peer_events_.batch_received();
     }
+    /// Readings of the store pass by the core. @return true for a message about them
+    bool relay(const peer_envelope& envelope)
+    {
+        const source_peer from{envelope.sender, envelope.peer_address};
+        if (const auto* pull = std::get_if<source_pull>(&envelope.message))
+        {
+            store_.handle(from, *pull);
+            return true;
+        }
+        if (const auto* answer = std::get_if<source_answer>(&envelope.message))
+        {
+            store_.handle(from, *answer);
+            return true;
+        }
+        return false;
+    }
     void reject_item(const error& why)
     {
         figures_.count_malformed(input_source::platform, why.kind);
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -1,38 +1,53 @@
 #pragma once
 
+#include <parsleyshift/configuration/source_relay.hpp>     // source_relay, source_peer
 #include <parsleyshift/configuration/store_watch.hpp>      // store_watch
 #include <parsleyshift/core/clock.hpp>                     // millisecond_clock
 #include <parsleyshift/forwarding/forwarding_protocol.hpp> // store_protocol
 #include <parsleyshift/messages/event.hpp>                 // event
 #include <parsleyshift/runtime/http_client.hpp>            // http_client
 
+#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <map>        // map
+#include <optional>   // optional
 #include <string>     // string
 #include <utility>    // move
 
 namespace parsleyshift
 {
 
-/// @brief Reads a store and tells the core what its items mean; store_watch decides which call comes next.
+/// @brief Reads a store, itself or through a peer, and tells the core what its items mean; store_watch and source_relay
+/// decide what comes next.
 /// @tparam P the store's protocol
 template <store_protocol P>
 class store_reader
 {
   public:
-    /// @param region_of names the region of a zone
-    /// @param rejected takes a description of each item or answer that cannot be read
+    /// @brief What the reader needs of the instance that it belongs to.
+    struct surroundings
+    {
+        /// Names the region of a zone.
+        std::function<region_id(const zone_id&)> region_of;
+        /// The peer that reads the store for this instance; nothing when it reads itself.
+        std::function<std::optional<source_peer>()> reader;
+        std::function<void(const source_peer&, peer_message)> send;
+        std::function<void(event)> feed;
+        /// Takes a description of each item or answer that cannot be read.
+        std::function<void(const error&)> rejected;
+        std::function<void()> batch_done;
+    };
+
     store_reader(asio::io_context& context, std::string address, const P& protocol, std::uint64_t seed,
-                 std::function<region_id(const zone_id&)> region_of, std::function<void(event)> feed,
-                 std::function<void(const error&)> rejected, std::function<void()> batch_done)
+                 surroundings instance)
         : address_(std::move(address)),
           protocol_(protocol),
           watch_(store_watch_settings{}, seed),
-          region_of_(std::move(region_of)),
-          feed_(std::move(feed)),
-          rejected_(std::move(rejected)),
-          client_(context, options(std::move(batch_done))),
-          retry_timer_(context)
+          relay_(watch_),
+          instance_(std::move(instance)),
+          client_(context, options(instance_.batch_done)),
+          retry_timer_(context),
+          pull_timer_(context)
     {
     }
     void start()
@@ -43,8 +58,36 @@
     {
         closed_ = true;
         retry_timer_.cancel();
+        pull_timer_.cancel();
         client_.close();
     }
+    /// @brief A peer asks for changes.
+    void handle(const source_peer& from, const source_pull& pull)
+    {
+        if (closed_)
+        {
+            return;
+        }
+        if (auto answer = relay_.asked(from, pull, millisecond_clock::now()))
+        {
+            instance_.send(from, std::move(*answer));
+        }
+    }
+    /// @brief A peer has answered.
+    void handle(const source_peer& from, const source_answer& answer)
+    {
+        const auto reception = relay_.take(from.instance, answer, millisecond_clock::now());
+        if (closed_ || reception == source_relay::reception::ignored)
+        {
+            return;
+        }
+        pull_timer_.cancel();
+        if (reception == source_relay::reception::accepted)
+        {
+            report();
+        }
+        call();
+    }
 
   private:
     static http_client_options options(std::function<void()> batch_done)
@@ -59,9 +102,33 @@
         return made;
     }
     void call()
+    {
+        const auto reader = instance_.reader();
+        if (const auto pull = relay_.next_pull(reader, millisecond_clock::now()))
+        {
+            instance_.send(*reader, *pull);
+            await_answer(pull->number);
+            return;
+        }
+        call_store();
+    }
+    void await_answer(std::uint64_t number)
+    {
+        pull_timer_.expires_after(relay_.answer_within());
+        pull_timer_.async_wait(
+            [this, number](const boost::system::error_code& failure)
+            {
+                // The answer may have come while this was on its way.
+                if (!failure && !closed_ && relay_.unanswered(number, millisecond_clock::now()))
+                {
+                    call();
+                }
+            });
+    }
+    void call_store()
     {
         const time_point now = millisecond_clock::now();
-        const store_call wanted = watch_.next(now);
+        const store_call wanted = watch_.next(now, relay_.in_haste());
         const bool lists = wanted.what == store_call::kind::list;
         http_call request;
         request.address = address_;
@@ -98,6 +165,7 @@
             retry();
             return;
         }
+        relay_.read_directly(true);
         report();
         call();
     }
@@ -106,7 +174,7 @@
         auto page = protocol_.read_page(answer.body);
         if (page.has_error())
         {
-            rejected_(page.error());
+            instance_.rejected(page.error());
             return false;
         }
         watch_.take(std::move(page).value());
@@ -117,7 +185,7 @@
         const auto changes = protocol_.read_changes(answer.body);
         if (changes.has_error())
         {
-            rejected_(changes.error());
+            instance_.rejected(changes.error());
             return false;
         }
         watch_.take(changes.value());
@@ -125,7 +193,9 @@
     }
     void retry()
     {
-        feed_(configuration_unavailable{});
+        relay_.read_directly(false);
+        answer_peers(false);
+        instance_.feed(configuration_unavailable{});
         retry_timer_.expires_after(watch_.failed());
         retry_timer_.async_wait(
             [this](const boost::system::error_code& failure)
@@ -147,11 +217,23 @@
         {
             return;
         }
-        feed_(configuration_confirmed{watch_.confirmed()});
+        if (watch_.confirmed() > reported_)
+        {
+            reported_ = watch_.confirmed();
+            instance_.feed(configuration_confirmed{reported_});
+        }
         if (endpoints_changed)
         {
             report_endpoints();
         }
+        answer_peers(true);
+    }
+    void answer_peers(bool successful)
+    {
+        for (addressed_answer& each : relay_.due(successful, millisecond_clock::now()))
+        {
+            instance_.send(each.to, std::move(each.answer));
+        }
     }
     /// @return true when the item is or was an endpoint
     bool update(const std::string& key)
@@ -165,16 +247,16 @@
         auto read = protocol_.read_item(item->second);
         if (read.has_error())
         {
-            rejected_(read.error());
+            instance_.rejected(read.error());
             return was_endpoint;
         }
         if (auto* configuration = std::get_if<forwarding_configuration>(&read.value()))
         {
-            feed_(forwarding_configured{std::move(*configuration)});
+            instance_.feed(forwarding_configured{std::move(*configuration)});
         }
         else if (auto* endpoint = std::get_if<listed_instance>(&read.value()))
         {
-            endpoint->region = region_of_(endpoint->availability_zone);
+            endpoint->region = instance_.region_of(endpoint->availability_zone);
             endpoints_.insert_or_assign(key, std::move(*endpoint));
             return true;
         }
@@ -188,7 +270,7 @@
         {
             listed.instances.push_back(endpoint);
         }
-        feed_(std::move(listed));
+        instance_.feed(std::move(listed));
     }
 
     /// Items of 1 MB, a page of 1 MB or so, with their encoding.
@@ -197,11 +279,13 @@
     std::string address_;
     const P& protocol_;
     store_watch watch_;
-    std::function<region_id(const zone_id&)> region_of_;
-    std::function<void(event)> feed_;
-    std::function<void(const error&)> rejected_;
+    source_relay relay_;
+    surroundings instance_;
     http_client client_;
     steady_timer retry_timer_;
+    steady_timer pull_timer_;
+    /// The time that the core was last told.
+    time_point reported_ = time_point::min();
     std::map<std::string, listed_instance> endpoints_;
     bool closed_ = false;
 };
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -328,11 +328,49 @@
     friend bool operator==(const endpoint_health_notice&, const endpoint_health_notice&) = default;
 };
 
+/// Asks a peer that reads the configuration's source for the changes after a revision. The peer answers when it has
+/// read the source again, or at once when it knows changes already.
+struct source_pull
+{
+    /// Numbers the pulls of one instance; the answer repeats it.
+    std::uint64_t number = 0;
+    /// Revision up to which the asking instance knows everything.
+    revision known;
+
+    friend bool operator==(const source_pull&, const source_pull&) = default;
+};
+
+/// A change of an item of the configuration's source.
+struct source_change
+{
+    std::string key;
+    std::string value;
+    bool removed = false;
+    revision changed;
+
+    friend bool operator==(const source_change&, const source_change&) = default;
+};
+
+/// Answer to a source_pull.
+struct source_answer
+{
+    std::uint64_t number = 0;
+    /// False when the peer cannot tell: the source does not answer it, or it no longer knows the changes.
+    bool available = false;
+    /// The changes lead from the revision of the pull to this one.
+    revision as_of;
+    /// Time since the beginning of the reading of the source that showed `as_of` to be the newest.
+    duration age{};
+    std::vector<source_change> changes;
+
+    friend bool operator==(const source_answer&, const source_answer&) = default;
+};
+
 using peer_message =
     std::variant<probe, probe_ack, probe_request, member_updates, configuration_digest, configuration_pull,
                  configuration_records, permit_request, permit_grant, permit_denial, permit_withdrawal, permit_return,
                  permit_registration, order_forward, order_reply, budget_loan, budget_request, quarantine_notice,
-                 permit_queued, stream_takeover, endpoint_health_notice>;
+                 permit_queued, stream_takeover, endpoint_health_notice, source_pull, source_answer>;
 
 /// @brief A peer message with its sender.
 struct peer_envelope
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -211,6 +211,29 @@
     4: i64 expires
 }
 
+struct source_pull
+{
+    1: i64 number
+    2: i64 known
+}
+
+struct source_change
+{
+    1: string key
+    2: string value
+    3: bool removed
+    4: i64 changed
+}
+
+struct source_answer
+{
+    1: i64 number
+    2: bool available
+    3: i64 as_of
+    4: i64 age
+    5: list<source_change> changes
+}
+
 union message
 {
     1: probe probe_value
@@ -234,6 +257,8 @@
     19: permit_queued permit_queued_value
     20: stream_takeover stream_takeover_value
     21: endpoint_health_notice endpoint_health_notice_value
+    22: source_pull source_pull_value
+    23: source_answer source_answer_value
 }
 
 struct envelope
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -423,6 +423,29 @@
     copy(wire.expires, value.expires);
 }
 
+void fields(auto copy, auto& wire, like<source_pull> auto& value)
+{
+    copy(wire.number, value.number);
+    copy(wire.known, value.known);
+}
+
+void fields(auto copy, auto& wire, like<source_change> auto& value)
+{
+    copy(wire.key, value.key);
+    copy(wire.value, value.value);
+    copy(wire.removed, value.removed);
+    copy(wire.changed, value.changed);
+}
+
+void fields(auto copy, auto& wire, like<source_answer> auto& value)
+{
+    copy(wire.number, value.number);
+    copy(wire.available, value.available);
+    copy(wire.as_of, value.as_of);
+    copy(wire.age, value.age);
+    copy(wire.changes, value.changes);
+}
+
 /// @brief Calls `visit(member, message_type, is_set)` for each member of the union; the result says whether it is set.
 void for_each_member(wire_format::message& m, auto visit)
 {
@@ -456,6 +479,8 @@
         visit(m.stream_takeover_value, message_type<stream_takeover>{}, set.stream_takeover_value);
     set.endpoint_health_notice_value =
         visit(m.endpoint_health_notice_value, message_type<endpoint_health_notice>{}, set.endpoint_health_notice_value);
+    set.source_pull_value = visit(m.source_pull_value, message_type<source_pull>{}, set.source_pull_value);
+    set.source_answer_value = visit(m.source_answer_value, message_type<source_answer>{}, set.source_answer_value);
 }
 
 } // namespace parsleyshift::detail
--- a/libs/wire/tests/peer_codec_test.cpp
+++ b/libs/wire/tests/peer_codec_test.cpp
@@ -199,6 +199,18 @@
     {
         m = {name<pool_id>(), name<endpoint_id>(), static_cast<double>(any<std::int32_t>()), time()};
     }
+    void fill(source_pull& m) const
+    {
+        m = {any<std::uint64_t>(), number<revision>()};
+    }
+    void fill(source_answer& m) const
+    {
+        m = {any<std::uint64_t>(), any<bool>(), number<revision>(), duration{any<std::int32_t>()},
+             several(
+                 [this] {
+                     return source_change{text(), text(), any<bool>(), number<revision>()};
+                 })};
+    }
     template <std::size_t Index>
     peer_envelope envelope() const
     {
