Blame no request for engines that are taken away while it runs

Cause: an entry that is removed while ready counts as the death of its endpoint, and each request that ran there gets a mark of the quarantine. The platform removes entries at a notice, too. A long run that met two notices and was then cut would have been refused for ten minutes when its caller sent it again: the new test shows it.

Ruled out: no marks for removed entries at all; a crashed engine leaves the list the same way, and its requests must be stopped.

Change: a removed endpoint at which this instance still has runs in progress has not died, because a death breaks their links first; and the end of a run at an endpoint that has left the list or is leaving is not a broken run.

--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -149,7 +149,10 @@
     directory_change change = directory.handle_list(list);
     for (const auto& gone : change.removed)
     {
-        if (!gone.leaving)
+        // An endpoint that still holds runs of this instance is taken away and has not died: a death breaks their links
+        // before the list shows it.
+        const bool still_runs = ledger.in_flight(gone.endpoint) > 0;
+        if (!gone.leaving && !still_runs)
         {
             endpoint_died(gone.endpoint);
         }
--- a/libs/decision_core/src/forward.cpp
+++ b/libs/decision_core/src/forward.cpp
@@ -423,7 +423,10 @@
     }
     tracker_.attempt_failed(failure);
     runs_ -= proves_not_run(failure) ? 1 : 0;
-    end_attempt(end_of(failure), false);
+    // The end of an engine that was taken away is no sign of a request that kills engines.
+    const endpoint_entry* entry = state_.directory.find(endpoint_);
+    const bool has_left = entry == nullptr || entry->leaving;
+    end_attempt(has_left ? run_end::stopped : end_of(failure), false);
     if (failure == attempt_failure::leaving)
     {
         state_.endpoint_leaves(endpoint_);
--- a/libs/decision_core/tests/forwarding_core_test.cpp
+++ b/libs/decision_core/tests/forwarding_core_test.cpp
@@ -229,6 +229,44 @@
     }
 }
 
+// Guards against a request that is refused as one that kills its endpoints, because they were taken away while it ran.
+TEST(forwarding_core, blames_no_run_for_engines_that_are_taken_away)
+{
+    core.serve();
+    core.same_content = true;
+    for (int engine = 1; engine <= 3; ++engine)
+    {
+        const request_id request = core.ask("/plan/1");
+        LONGS_EQUAL(1, core.times_sent(request));
+        const start_forward run = *core.sent(request);
+        core.feed(forward_answered{run.attempt, answer_sign::success, false});
+        const std::string next = "n" + std::to_string(engine);
+        core.list({endpoint("d1", desk), endpoint("d2", desk), endpoint(next, writers)});
+        core.feed(attempt_failed{run.attempt, attempt_failure::link_broken, "ended"});
+        CHECK(how(request) == outcome::failed);
+        core.pass(3_s);
+        core.feed(configuration_confirmed{core.now});
+    }
+}
+
+// Guards against a request that kills its endpoints and is not stopped: their links break before they leave the list.
+TEST(forwarding_core, stops_a_request_whose_endpoints_die)
+{
+    core.serve();
+    core.same_content = true;
+    for (int engine = 1; engine <= 2; ++engine)
+    {
+        const request_id request = core.ask("/plan/1");
+        const start_forward run = *core.sent(request);
+        core.feed(attempt_failed{run.attempt, attempt_failure::link_broken, "reset"});
+        const std::string next = "n" + std::to_string(engine);
+        core.list({endpoint("d1", desk), endpoint("d2", desk), endpoint(next, writers)});
+        core.pass(3_s);
+        core.feed(configuration_confirmed{core.now});
+    }
+    CHECK(why(core.ask("/plan/1")) == error_kind::quarantined);
+}
+
 // Guards against callers that are sent to an instance that cannot serve them while another one can.
 TEST(forwarding_core, names_itself_when_it_knows_no_other_instance)
 {
