Refuse new streams from 2.5 s after the start of a planned stop

New requests were taken until 4 s after SIGTERM, of the 8 s granted, and a plan takes 8 s at the mean.

Change: new streams are refused from 2.5 s on, with a time to come back; those sent within 3 s are excused by the platform if they are still running near the end. Short requests are taken until 4 s as before.

--- a/libs/decision_core/src/forward_manager.cpp
+++ b/libs/decision_core/src/forward_manager.cpp
@@ -96,7 +96,7 @@
 
 result<admission> forward_manager::admit(const forward_request& asked)
 {
-    if (closed_)
+    if (state_.now >= closes_)
     {
         return make_error(error_kind::shutting_down, "the instance is about to end", duration{0});
     }
@@ -114,6 +114,10 @@
         }
         return make_error(error_kind::not_found, "no route of " + asked.host + " leads to " + asked.path);
     }
+    if (where->kind == route_kind::stream && state_.now >= streams_close_)
+    {
+        return make_error(error_kind::shutting_down, "the instance is about to end", duration{0});
+    }
     BOOST_OUTCOME_TRY(const key_holder holder, identify(asked, *where));
     const route_target* target = route_index::draw(*where, state_.random);
     if (target == nullptr)
--- a/libs/decision_core/src/forward_manager.hpp
+++ b/libs/decision_core/src/forward_manager.hpp
@@ -24,10 +24,11 @@
     void confirm(time_point as_of);
 
     void handle(const forward_request& asked);
-    /// @brief From now on new requests are refused.
-    void close()
+    /// @brief New streams are refused from one time on, all new requests from another.
+    void close_at(time_point streams, time_point all)
     {
-        closed_ = true;
+        streams_close_ = streams;
+        closes_ = all;
     }
     void handle(const permit_grant& grant, const instance_id& from);
     void scheduler_moved();
@@ -84,7 +85,8 @@
     /// The configuration was the newest at this time.
     time_point confirmed_ = time_point::min();
     time_point last_arrival_;
-    bool closed_ = false;
+    time_point streams_close_ = never;
+    time_point closes_ = never;
     std::unordered_map<request_id, std::unique_ptr<forward>> active_;
 };
 
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -21,6 +21,9 @@
 constexpr duration purge_interval{5'000};
 /// An instance that reports this share of its capacity in use is left out of entry answers.
 constexpr int unavailable_percent = 100;
+/// Time after the start of a planned stop from which new streams are refused. A stream takes 8 s at the mean, so that
+/// one that begins later is cut by the end of the grace; the platform excuses those that were sent within 3 s.
+constexpr duration stop_refuse_streams{2'500};
 
 } // namespace
 
@@ -215,6 +218,7 @@
         }
         state_.stopping = true;
         stop_began_ = state_.now;
+        forwards_.close_at(stop_began_ + stop_refuse_streams, stop_began_ + state_.settings.forwarding.stop_refuse);
         state_.log(log_event::stop_began, "waiting for requests in progress");
         membership_output members;
         state_.members.leave(state_.now, members);
@@ -460,10 +464,6 @@
         }
         const auto& settings = state_.settings.forwarding;
         const time_point closes = stop_began_ + settings.stop_refuse;
-        if (state_.now >= closes)
-        {
-            forwards_.close();
-        }
         const time_point quiet =
             std::max(stop_began_ + settings.stop_least, forwards_.last_arrival() + settings.stop_quiet);
         const time_point ends = std::min(quiet, closes);
--- a/libs/decision_core/tests/forwarding_core_test.cpp
+++ b/libs/decision_core/tests/forwarding_core_test.cpp
@@ -324,6 +324,22 @@
     CHECK_TRUE(core.stopped);
 }
 
+// Guards against a stream that is taken long after the start of a planned stop and cut when the process must end.
+TEST(forwarding_core, refuses_streams_that_would_outlast_its_stop)
+{
+    core.serve();
+    core.feed(stop_planned{});
+    core.pass(2'400_ms);
+    core.feed(configuration_confirmed{core.now});
+    LONGS_EQUAL(1, core.times_sent(core.ask("/plan/1")));
+    core.pass(100_ms);
+    const request_id late = core.ask("/plan/1");
+    CHECK(why(late) == error_kind::shutting_down);
+    CHECK(how(late) == outcome::not_run);
+    CHECK_TRUE(core.rejection(late)->why.retry_after.has_value());
+    LONGS_EQUAL(1, core.times_sent(core.ask("/look/1")));
+}
+
 // Guards against two runs of a once request, a false promise, and a request without an end, over random failures.
 TEST(forwarding_core, keeps_its_promises_over_random_failures)
 {
