Tell an event stream from its head in one place

attempt_sink decided in on_head() and again in streams_events() whether an answer is a stream of events, with conditions that differed in the refusal. Both now call is_event_stream(); the delivery keeps its own condition that nothing is held. A refused answer is never delivered, so that behaviour stays as it is.

--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -189,10 +189,7 @@
             return false;
         }
         head_ = head;
-        const auto type = head[boost::beast::http::field::content_type];
-        const bool is_stream = start_.kind == route_kind::stream && reading_.sign == answer_sign::success &&
-                               !reading_.refusal && type.substr(0, event_stream.size()) == event_stream;
-        if (is_stream)
+        if (is_event_stream())
         {
             owner_.feed_(forward_answered{start_.attempt, reading_.sign, false});
         }
@@ -243,7 +240,7 @@
     /// Passes the answer, or what there is of a stream, on to the caller.
     void deliver(http_session& session)
     {
-        if (!streams_events())
+        if (!is_event_stream() || !body_.empty())
         {
             session.answer_raw(forwarded_answer_head(head_, {false, body_.size(), session.keeps_alive()}), body_);
             return;
@@ -268,10 +265,10 @@
   private:
     static constexpr boost::beast::string_view event_stream{"text/event-stream"};
 
-    [[nodiscard]] bool streams_events() const
+    [[nodiscard]] bool is_event_stream() const
     {
         const auto type = head_[boost::beast::http::field::content_type];
-        return start_.kind == route_kind::stream && reading_.sign == answer_sign::success && body_.empty() &&
+        return start_.kind == route_kind::stream && reading_.sign == answer_sign::success && !reading_.refusal &&
                type.substr(0, event_stream.size()) == event_stream;
     }
     [[nodiscard]] std::int64_t events() const
