Log and count the reads of the configuration by source, result and size

Callers of one region got 503 for 17 s after a series of changes. The log said that the configuration service did not answer, but not what had been asked of whom, how much of the response had arrived, or why an answer did not count, so congestion, slow decoding and a silent store looked alike.

Each read that fails is logged with its source, request, duration, bytes and reason; reads that succeed are logged at debug. Metrics: parsleyshift_store_read_ms by source and result, and parsleyshift_store_bytes_total, which also counts what an instance passes on to its peers. No decision changes.

Test: counts_reads_of_the_configuration_service_by_source_and_result.

--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
@@ -21,6 +21,7 @@
 
 #include <algorithm> // find_if
 #include <csignal>   // SIGTERM
+#include <cstddef>   // size_t
 #include <deque>     // deque
 #include <memory>    // make_shared
 #include <string>    // string
@@ -290,6 +291,8 @@
                 },
                 [this](event what) { feed(std::move(what)); },
                 [this](const error& why) { on_item_rejected(why); },
+                [this](const store_read& read) { on_store_read(read); },
+                [this](std::size_t bytes) { metrics_.count_relayed(bytes); },
                 [this]
                 {
                     end_batch();
@@ -325,6 +328,21 @@
         }
         return false;
     }
+    void on_store_read(const store_read& read)
+    {
+        metrics_.record(read);
+        const std::string detail = read.request + ": " + std::string{name_of(read.result)} + " after " +
+                                   std::to_string(read.elapsed.count()) + " ms, " + std::to_string(read.bytes) +
+                                   " bytes" + (read.reason.empty() ? "" : ", " + read.reason);
+        if (read.result == store_read_result::complete)
+        {
+            log_.write(log_level::debug, log_event::configuration_read, detail);
+        }
+        else
+        {
+            log_.write(log_level::warning, log_event::configuration_read_failed, detail);
+        }
+    }
     void on_item_rejected(const error& why)
     {
         metrics_.count_malformed(input_source::platform, why.kind);
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -5,8 +5,10 @@
 #include <parsleyshift/core/clock.hpp>                     // millisecond_clock
 #include <parsleyshift/forwarding/forwarding_protocol.hpp> // store_protocol
 #include <parsleyshift/messages/event.hpp>                 // event
+#include <parsleyshift/messages/store.hpp>                 // store_read
 #include <parsleyshift/runtime/http_client.hpp>            // http_client
 
+#include <cstddef>    // size_t
 #include <cstdint>    // uint64_t
 #include <functional> // function
 #include <map>        // map
@@ -40,6 +42,10 @@
         std::function<void(event)> feed;
         /// Called with the reason for each item or response that cannot be decoded.
         std::function<void(const error&)> on_rejected;
+        /// Called when a read from the store or from a peer has ended.
+        std::function<void(const store_read&)> on_read;
+        /// Called with the size in bytes of each answer that passes items on to a peer.
+        std::function<void(std::size_t)> on_relayed;
         /// Called after each batch of events.
         std::function<void()> batch_done;
     };
@@ -80,7 +86,7 @@
         }
         if (auto answer = relay_.handle_pull(from, pull, millisecond_clock::now()))
         {
-            callbacks_.send(from, std::move(*answer));
+            send_answer(from, std::move(*answer));
         }
     }
     /// @brief Handles a peer's answer to a pull of this instance.
@@ -92,7 +98,10 @@
             return;
         }
         pull_timer_.cancel();
-        if (reception == source_relay::answer_result::accepted)
+        const bool accepted = reception == source_relay::answer_result::accepted;
+        report_read(accepted ? store_read_result::complete : store_read_result::refused, size_of(answer),
+                    accepted ? "" : "the peer has no current items");
+        if (accepted)
         {
             publish();
         }
@@ -111,11 +120,42 @@
         options.batch_done = std::move(batch_done);
         return options;
     }
+    /// Bytes of the keys and values in an answer.
+    static std::size_t size_of(const source_answer& answer)
+    {
+        std::size_t bytes = 0;
+        for (const source_change& change : answer.changes)
+        {
+            bytes += change.key.size() + change.value.size();
+        }
+        return bytes;
+    }
+    void send_answer(const source_peer& to, source_answer answer)
+    {
+        callbacks_.on_relayed(size_of(answer));
+        callbacks_.send(to, std::move(answer));
+    }
+    void begin_read(store_read_source source, std::string request)
+    {
+        current_read_ = store_read{};
+        current_read_.source = source;
+        current_read_.request = std::move(request) + " after revision " + std::to_string(watch_.as_of().value());
+        read_started_at_ = millisecond_clock::now();
+    }
+    void report_read(store_read_result result, std::size_t bytes, std::string reason = {})
+    {
+        current_read_.result = result;
+        current_read_.bytes = bytes;
+        current_read_.elapsed = millisecond_clock::now() - read_started_at_;
+        current_read_.reason = std::move(reason);
+        callbacks_.on_read(current_read_);
+    }
     void request_next()
     {
         const auto reading_peer = callbacks_.reading_peer();
         if (const auto pull = relay_.next_pull(reading_peer, millisecond_clock::now()))
         {
+            begin_read(store_read_source::peer, "pull from " + reading_peer->instance.value());
             callbacks_.send(*reading_peer, *pull);
             schedule_pull_timeout(pull->pull_number);
             return;
@@ -131,6 +171,7 @@
                 // The answer may have arrived after the timer expired and before this handler ran.
                 if (!failure && !closed_ && relay_.handle_timeout(number, millisecond_clock::now()))
                 {
+                    report_read(store_read_result::no_response, 0, "the peer did not answer in time");
                     request_next();
                 }
             });
@@ -140,6 +181,7 @@
         const time_point now = millisecond_clock::now();
         const store_call next_call = watch_.next(now, relay_.skip_watch_wait());
         const bool is_listing = next_call.what == store_call::kind::list;
+        begin_read(store_read_source::store, is_listing ? "list" : "watch");
         http_call request;
         request.address = address_;
         request.text = request_text("GET",
@@ -162,21 +204,31 @@
         constexpr unsigned ok = 200;
         if (!response.has_value())
         {
+            report_read(store_read_result::no_response, response.error().received_bytes, response.error().message);
             schedule_retry();
             return;
         }
-        if (!is_listing && protocol_.is_history_dropped(response.value().status))
+        const http_answer& answer = response.value();
+        if (!is_listing && protocol_.is_history_dropped(answer.status))
         {
+            report_read(store_read_result::refused, answer.body.size(), "the store has dropped the history");
             watch_.restart_listing();
             request_next();
             return;
         }
-        if (response.value().status != ok ||
-            !(is_listing ? apply_page(response.value()) : apply_changes(response.value())))
+        if (answer.status != ok)
+        {
+            report_read(store_read_result::refused, answer.body.size(), "status " + std::to_string(answer.status));
+            schedule_retry();
+            return;
+        }
+        if (!(is_listing ? apply_page(answer) : apply_changes(answer)))
         {
+            report_read(store_read_result::malformed, answer.body.size());
             schedule_retry();
             return;
         }
+        report_read(store_read_result::complete, answer.body.size());
         relay_.record_direct_read(true);
         publish();
         request_next();
@@ -245,7 +297,7 @@
     {
         for (addressed_answer& pending : relay_.take_pending_answers(successful, millisecond_clock::now()))
         {
-            callbacks_.send(pending.to, std::move(pending.answer));
+            send_answer(pending.to, std::move(pending.answer));
         }
     }
     /// Decodes the item of a key and feeds it to the core if it is a configuration; endpoints are only stored.
@@ -302,6 +354,9 @@
     /// Time of the last configuration_confirmed event.
     time_point last_confirmed_ = time_point::min();
     std::map<std::string, listed_instance> endpoints_;
+    /// The read in progress.
+    store_read current_read_;
+    time_point read_started_at_;
     bool closed_ = false;
 };
 
--- a/libs/messages/include/parsleyshift/messages/action.hpp
+++ b/libs/messages/include/parsleyshift/messages/action.hpp
@@ -270,31 +270,38 @@
     dependency_regained,
     /// The settings file changed and was reloaded.
     settings_reloaded,
+    /// A read of the configuration service, directly or from a peer, ended with changes.
+    configuration_read,
+    /// A read of the configuration service failed.
+    configuration_read_failed,
 };
 
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array rows{enum_name<log_event>{log_event::configuration_accepted, "configuration_accepted"},
-                                     enum_name<log_event>{log_event::configuration_rejected, "configuration_rejected"},
-                                     enum_name<log_event>{log_event::member_changed, "member_changed"},
-                                     enum_name<log_event>{log_event::endpoint_ejected, "endpoint_ejected"},
-                                     enum_name<log_event>{log_event::endpoint_restored, "endpoint_restored"},
-                                     enum_name<log_event>{log_event::endpoint_leaving, "endpoint_leaving"},
-                                     enum_name<log_event>{log_event::request_quarantined, "request_quarantined"},
-                                     enum_name<log_event>{log_event::scheduler_changed, "scheduler_changed"},
-                                     enum_name<log_event>{log_event::placement_ordered, "placement_ordered"},
-                                     enum_name<log_event>{log_event::stop_began, "stop_began"},
-                                     enum_name<log_event>{log_event::stop_finished, "stop_finished"},
-                                     enum_name<log_event>{log_event::request_failed, "request_failed"},
-                                     enum_name<log_event>{log_event::instance_started, "instance_started"},
-                                     enum_name<log_event>{log_event::input_rejected, "input_rejected"},
-                                     enum_name<log_event>{log_event::request_sent, "request_sent"},
-                                     enum_name<log_event>{log_event::run_moving, "run_moving"},
-                                     enum_name<log_event>{log_event::request_ended, "request_ended"},
-                                     enum_name<log_event>{log_event::dependency_lost, "dependency_lost"},
-                                     enum_name<log_event>{log_event::dependency_regained, "dependency_regained"},
-                                     enum_name<log_event>{log_event::settings_reloaded, "settings_reloaded"}};
+    static constexpr std::array rows{
+        enum_name<log_event>{log_event::configuration_accepted, "configuration_accepted"},
+        enum_name<log_event>{log_event::configuration_rejected, "configuration_rejected"},
+        enum_name<log_event>{log_event::member_changed, "member_changed"},
+        enum_name<log_event>{log_event::endpoint_ejected, "endpoint_ejected"},
+        enum_name<log_event>{log_event::endpoint_restored, "endpoint_restored"},
+        enum_name<log_event>{log_event::endpoint_leaving, "endpoint_leaving"},
+        enum_name<log_event>{log_event::request_quarantined, "request_quarantined"},
+        enum_name<log_event>{log_event::scheduler_changed, "scheduler_changed"},
+        enum_name<log_event>{log_event::placement_ordered, "placement_ordered"},
+        enum_name<log_event>{log_event::stop_began, "stop_began"},
+        enum_name<log_event>{log_event::stop_finished, "stop_finished"},
+        enum_name<log_event>{log_event::request_failed, "request_failed"},
+        enum_name<log_event>{log_event::instance_started, "instance_started"},
+        enum_name<log_event>{log_event::input_rejected, "input_rejected"},
+        enum_name<log_event>{log_event::request_sent, "request_sent"},
+        enum_name<log_event>{log_event::run_moving, "run_moving"},
+        enum_name<log_event>{log_event::request_ended, "request_ended"},
+        enum_name<log_event>{log_event::dependency_lost, "dependency_lost"},
+        enum_name<log_event>{log_event::dependency_regained, "dependency_regained"},
+        enum_name<log_event>{log_event::settings_reloaded, "settings_reloaded"},
+        enum_name<log_event>{log_event::configuration_read, "configuration_read"},
+        enum_name<log_event>{log_event::configuration_read_failed, "configuration_read_failed"}};
 };
 
 /// Write a line to the structured log.
--- a/libs/messages/include/parsleyshift/messages/store.hpp
+++ b/libs/messages/include/parsleyshift/messages/store.hpp
@@ -1,9 +1,13 @@
 #pragma once
 
+#include <parsleyshift/core/clock.hpp>        // duration
 #include <parsleyshift/core/ids.hpp>          // revision
+#include <parsleyshift/core/name_table.hpp>   // enum_names
 #include <parsleyshift/messages/forward.hpp>  // forwarding_configuration
 #include <parsleyshift/messages/platform.hpp> // listed_instance
 
+#include <array>    // array
+#include <cstddef>  // size_t
 #include <optional> // optional
 #include <string>   // string
 #include <variant>  // variant
@@ -53,4 +57,53 @@
 /// forwarded requests.
 using store_entry = std::variant<std::monostate, forwarding_configuration, listed_instance>;
 
+/// @brief Where an instance reads the items of the configuration service from.
+enum class store_read_source
+{
+    store,
+    peer,
+};
+
+template <>
+struct enum_names<store_read_source>
+{
+    static constexpr std::array rows{enum_name<store_read_source>{store_read_source::store, "store"},
+                                     enum_name<store_read_source>{store_read_source::peer, "peer"}};
+};
+
+/// @brief How a read of the configuration service ended.
+enum class store_read_result
+{
+    complete,
+    /// No complete response in time.
+    no_response,
+    /// The source answered that it cannot provide the items.
+    refused,
+    /// The response cannot be decoded.
+    malformed,
+};
+
+template <>
+struct enum_names<store_read_result>
+{
+    static constexpr std::array rows{enum_name<store_read_result>{store_read_result::complete, "complete"},
+                                     enum_name<store_read_result>{store_read_result::no_response, "no_response"},
+                                     enum_name<store_read_result>{store_read_result::refused, "refused"},
+                                     enum_name<store_read_result>{store_read_result::malformed, "malformed"}};
+};
+
+/// @brief A read of the configuration service that has ended, for logs and metrics.
+struct store_read
+{
+    store_read_source source = store_read_source::store;
+    store_read_result result = store_read_result::complete;
+    /// What was read and from whom.
+    std::string request;
+    /// Size of the response, or of its part that arrived.
+    std::size_t bytes = 0;
+    duration elapsed{};
+    /// Reason of a failure.
+    std::string reason;
+};
+
 } // namespace parsleyshift
--- a/libs/runtime/include/parsleyshift/runtime/http_client.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_client.hpp
@@ -90,6 +90,8 @@
 {
     attempt_failure failure = attempt_failure::link_broken;
     std::string message;
+    /// Bytes of the body that had arrived.
+    std::size_t received_bytes = 0;
 };
 
 /// @brief A complete response, or the reason why there is none.
--- a/libs/runtime/include/parsleyshift/runtime/metrics.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/metrics.hpp
@@ -2,6 +2,7 @@
 
 #include <parsleyshift/core/error.hpp>      // error_kind
 #include <parsleyshift/messages/action.hpp> // record_sample, request_finished
+#include <parsleyshift/messages/store.hpp>  // store_read
 
 #include <cstddef>     // size_t
 #include <memory>      // unique_ptr
@@ -89,6 +90,10 @@
     /// @brief Counts a finished request by outcome, error kind, class and customer. Same thread as above; constant time
     /// on average.
     void record(const request_finished& request);
+    /// @brief Counts a read of the configuration service by source and result, and its size and duration.
+    void record(const store_read& read);
+    /// @brief Counts the bytes of an answer that passes items of the configuration service on to a peer.
+    void count_relayed(std::size_t bytes);
     /// @brief Counts one rejected input.
     void count_malformed(input_source from, error_kind kind);
     /// @brief Counts messages to peers that were dropped, for a full queue, a broken connection or an oversized frame.
--- a/libs/runtime/src/http_client.cpp
+++ b/libs/runtime/src/http_client.cpp
@@ -24,8 +24,9 @@
         response_.status = head.result_int();
         return true;
     }
-    bool on_body(std::string& /*body*/) override
+    bool on_body(std::string& body) override
     {
+        received_bytes_ = body.size();
         return true;
     }
     void on_done(std::string& body) override
@@ -35,12 +36,13 @@
     }
     void on_failed(attempt_failure failure, std::string message) override
     {
-        done_(http_failure{failure, std::move(message)});
+        done_(http_failure{failure, std::move(message), received_bytes_});
     }
 
   private:
     std::function<void(http_result)> done_;
     http_answer response_;
+    std::size_t received_bytes_ = 0;
 };
 
 } // namespace
--- a/libs/runtime/src/metrics.cpp
+++ b/libs/runtime/src/metrics.cpp
@@ -71,6 +71,15 @@
                              .Help("Messages to peers that were not sent")
                              .Register(registry)
                              .Add({})),
+          store_reads(prometheus::BuildHistogram()
+                          .Name("parsleyshift_store_read_ms")
+                          .Help("Time of reads of the configuration service, by source and result")
+                          .Register(registry)),
+          store_bytes(prometheus::BuildCounter()
+                          .Name("parsleyshift_store_bytes_total")
+                          .Help("Bytes of items of the configuration service, read by source or relayed to peers")
+                          .Register(registry)),
+          relayed_bytes(store_bytes.Add({{"direction", "relayed"}})),
           levels(prometheus::BuildGauge()
                      .Name("parsleyshift_level")
                      .Help("Open connections and elements in the rings between threads")
@@ -104,6 +113,9 @@
     Family<Counter>& finished;
     Family<Counter>& malformed_input;
     Counter& dropped_frames;
+    Family<Histogram>& store_reads;
+    Family<Counter>& store_bytes;
+    Counter& relayed_bytes;
     Family<Gauge>& levels;
     std::vector<Gauge*> gauges;
     bounded_labels customers{max_customers};
@@ -147,6 +159,19 @@
         .Increment();
 }
 
+void metrics::record(const store_read& read)
+{
+    const std::string source(name_of(read.source));
+    state_->store_reads.Add({{"source", source}, {"result", std::string(name_of(read.result))}}, latency_buckets_ms)
+        .Observe(static_cast<double>(read.elapsed.count()));
+    state_->store_bytes.Add({{"direction", "read from " + source}}).Increment(static_cast<double>(read.bytes));
+}
+
+void metrics::count_relayed(std::size_t bytes)
+{
+    state_->relayed_bytes.Increment(static_cast<double>(bytes));
+}
+
 void metrics::count_malformed(input_source from, error_kind kind)
 {
     state_->malformed_counter(from, kind).Increment();
--- a/libs/runtime/tests/parts_test.cpp
+++ b/libs/runtime/tests/parts_test.cpp
@@ -125,6 +125,20 @@
     CHECK(status.error().detail.find("caller_address") != std::string::npos);
 }
 
+// Guards against reads of the configuration service that fail without a trace of their source, result or size.
+TEST(runtime_components, counts_reads_of_the_configuration_service_by_source_and_result)
+{
+    metrics recorded;
+    recorded.record(
+        store_read{store_read_source::peer, store_read_result::no_response, "pull", 0, duration{1'200}, "timeout"});
+    recorded.record(store_read{store_read_source::store, store_read_result::complete, "watch", 500, duration{70}, ""});
+    recorded.count_relayed(700);
+    const std::string text = recorded.text();
+    CHECK(text.find(R"(parsleyshift_store_read_ms_count{result="no_response",source="peer"} 1)") != std::string::npos);
+    CHECK(text.find(R"(parsleyshift_store_bytes_total{direction="read from store"} 500)") != std::string::npos);
+    CHECK(text.find(R"(parsleyshift_store_bytes_total{direction="relayed"} 700)") != std::string::npos);
+}
+
 // Guards against an unbounded number of time series: each label value uses memory until the process ends.
 TEST(runtime_components, label_values_are_bounded)
 {
