Add failing tests of how fast a configuration reaches a region

Callers saw changes that were not in force 4 s after their confirmation, and 503 for 17 s after a series of changes. They check that each change is in force everywhere within 4 s, and that no copy gets older than the 4.3 s after which requests are rejected.

--- /dev/null
+++ b/libs/configuration/tests/configuration_spread_test.cpp
@@ -0,0 +1,165 @@
+#include <parsleyshift/test_support/property.hpp> // TEST_GROUP, CHECK
+
+#include "simulated_region.hpp" // simulated_region
+
+#include <parsleyshift/core/random_source.hpp> // random_source
+
+#include <algorithm> // max
+#include <cstddef>   // size_t
+#include <cstdint>   // uint64_t
+#include <string>    // string, to_string
+#include <vector>    // vector
+
+using namespace parsleyshift;
+using namespace parsleyshift::literals;
+using namespace parsleyshift::test_support;
+
+namespace
+{
+
+constexpr time_point start = at_ms(1'000'000);
+/// Time after its confirmation within which a change must be in force at every instance.
+constexpr duration application_bound{4'000};
+/// An instance rejects requests when its copy has not been confirmed for this long.
+constexpr duration freshness_lease{4'300};
+constexpr std::size_t large_configuration = 54'000;
+constexpr std::size_t very_large_configuration = 390'000;
+
+std::string random_name(random_source& random, std::size_t length)
+{
+    std::string name;
+    while (name.size() < length)
+    {
+        name += static_cast<char>('a' + random.index(26));
+    }
+    return name;
+}
+
+/// A configuration of about the given size, whose routes have random names and paths.
+std::string configuration_text(std::uint64_t version, std::size_t bytes)
+{
+    random_source random{version};
+    std::string text = R"({"version":)" + std::to_string(version) + R"(,"routes":[)";
+    while (text.size() < bytes)
+    {
+        text += R"({"name":"r-)" + random_name(random, 7) + R"(","host":")" + random_name(random, 6) +
+                R"(.example","path_prefix":"/)" + random_name(random, 8) +
+                R"(/","kind":"idempotent","timeout_ms":1200,"target_latency_ms":400,"priority":2,"service":")" +
+                random_name(random, 7) +
+                R"(","max_attempts":2,"allow_anonymous":true,"session_affinity":false,"stream_resume":false},)";
+    }
+    return text;
+}
+
+} // namespace
+
+/// Follows how long changes take to reach the instances of a region.
+TEST_GROUP(configuration_spread)
+{
+    struct confirmed_change
+    {
+        time_point at;
+        std::uint64_t number;
+    };
+    simulated_links links{start};
+    std::vector<confirmed_change> confirmed;
+    duration longest_age{};
+
+    void write(simulated_region & region, std::size_t bytes)
+    {
+        region.write("configuration", configuration_text(region.store_revision(), bytes));
+        confirmed.push_back({links.now(), region.store_revision()});
+    }
+    /// Starts the region and lets all instances read the items.
+    void settle(simulated_region & region)
+    {
+        for (int each = 0; each < 51; ++each)
+        {
+            region.write("endpoint" + std::to_string(each), std::string(200, 'e'));
+        }
+        write(region, large_configuration);
+        region.start();
+        links.run_until(links.now() + 8'000_ms);
+        confirmed.clear();
+    }
+    /// Writes a configuration every 100 ms.
+    void write_series(simulated_region & region, int count, std::size_t bytes)
+    {
+        for (int each = 0; each < count; ++each)
+        {
+            write(region, bytes);
+            run(region, 100_ms);
+        }
+    }
+    /// Runs the simulation and records the greatest age of a copy.
+    void run(simulated_region & region, duration time, std::size_t instances = region_shape{}.instances)
+    {
+        const time_point end = links.now() + time;
+        while (links.now() < end)
+        {
+            links.run_until(links.now() + 50_ms);
+            check_applied(region, instances);
+        }
+    }
+    /// Checks that each change confirmed longer ago than the bound is in force everywhere.
+    void check_applied(const simulated_region& region, std::size_t instances)
+    {
+        for (std::size_t index = 0; index < instances; ++index)
+        {
+            if (region.frozen(index))
+            {
+                continue;
+            }
+            longest_age = std::max(longest_age, region.age_of(index));
+            for (const confirmed_change& change : confirmed)
+            {
+                const bool overdue = links.now() > change.at + application_bound;
+                CHECK_FALSE(overdue && region.revision_of(index) < revision{change.number});
+            }
+        }
+    }
+};
+
+// Guards against instances that read the whole history again and again after a series of changes.
+TEST(configuration_spread, a_series_of_changes_is_in_force_in_time)
+{
+    simulated_region region{links, {}};
+    settle(region);
+    write_series(region, 80, large_configuration);
+    run(region, 20'000_ms);
+    CHECK(longest_age < freshness_lease);
+}
+
+// Guards against a region whose instances all read a large configuration from the store at once.
+TEST(configuration_spread, a_large_configuration_is_in_force_in_time)
+{
+    simulated_region region{links, {}};
+    settle(region);
+    write(region, very_large_configuration);
+    run(region, 20'000_ms);
+    CHECK(longest_age < freshness_lease);
+}
+
+// Guards against instances that cannot catch up when the store returns and changes follow at once.
+TEST(configuration_spread, changes_after_an_outage_of_the_store_are_in_force_in_time)
+{
+    simulated_region region{links, {}};
+    settle(region);
+    region.set_store_silent(true);
+    run(region, 8'000_ms);
+    region.set_store_silent(false);
+    write_series(region, 30, large_configuration);
+    run(region, 20'000_ms);
+}
+
+// Guards against followers that all turn to the store when the reader of their region stops answering.
+TEST(configuration_spread, changes_are_in_force_in_time_when_the_reader_freezes)
+{
+    simulated_region region{links, {}};
+    settle(region);
+    write_series(region, 5, large_configuration);
+    region.freeze(0);
+    write_series(region, 30, large_configuration);
+    run(region, 20'000_ms);
+    CHECK(longest_age < freshness_lease);
+}
--- /dev/null
+++ b/libs/configuration/tests/simulated_region.hpp
@@ -0,0 +1,326 @@
+#pragma once
+
+#include "simulated_links.hpp" // simulated_links
+
+#include <parsleyshift/configuration/source_relay.hpp> // source_relay
+
+#include <cstddef>  // size_t
+#include <cstdint>  // uint64_t
+#include <map>      // map
+#include <memory>   // unique_ptr
+#include <optional> // optional
+#include <string>   // string
+#include <utility>  // move
+#include <vector>   // vector
+
+namespace parsleyshift::test_support
+{
+
+/// @brief Rates in bytes per millisecond, and the size of a region; the defaults are those of a large deployment.
+struct region_shape
+{
+    std::size_t instances = 40;
+    /// Rate of the link of the instance with the highest rank as a reader, and of all others.
+    double reader_link = 1'250;
+    double follower_link = 1'250;
+    /// The link to the region of the store, which all instances share.
+    double store_link = 7'500;
+    duration store_delay{32};
+    duration peer_delay{1};
+};
+
+/// @brief The instances of one region, which read a store in another region through store_watch and source_relay.
+///
+/// Decides nothing itself: it carries out the calls and pulls that these classes ask for, as store_reader does.
+class simulated_region
+{
+  public:
+    simulated_region(simulated_links& links, const region_shape& shape) : links_(links), shape_(shape)
+    {
+        store_link_ = links_.add_link(shape.store_link);
+        for (std::size_t index = 0; index < shape.instances; ++index)
+        {
+            nodes_.push_back(std::make_unique<node>(index));
+            const double rate = index == 0 ? shape.reader_link : shape.follower_link;
+            nodes_.back()->uplink = links_.add_link(rate);
+            nodes_.back()->downlink = links_.add_link(rate);
+        }
+    }
+    /// @brief Starts all instances.
+    void start()
+    {
+        for (const auto& each : nodes_)
+        {
+            request_next(*each);
+        }
+    }
+    /// @brief Writes an item to the store and wakes the watches.
+    void write(const std::string& key, const std::string& value)
+    {
+        ++store_revision_;
+        history_.push_back({links_.now(), store_change{key, value, revision{store_revision_}}});
+        items_.insert_or_assign(key, store_item{key, value, revision{store_revision_}});
+        for (const auto& each : nodes_)
+        {
+            if (each->watch_pending)
+            {
+                answer_watch(*each);
+            }
+        }
+    }
+    /// @brief Sets whether the store answers; calls to a silent store end at their timeout.
+    void set_store_silent(bool silent)
+    {
+        store_silent_ = silent;
+    }
+    /// @brief Stops an instance from answering and reading, as if its process had been suspended.
+    void freeze(std::size_t index)
+    {
+        nodes_[index]->frozen = true;
+    }
+    /// @brief Revision up to which the local copy of an instance is complete.
+    [[nodiscard]] revision revision_of(std::size_t index) const
+    {
+        return nodes_[index]->watch.as_of();
+    }
+    [[nodiscard]] std::uint64_t store_revision() const noexcept
+    {
+        return store_revision_;
+    }
+    /// @brief Time for which the local copy of an instance has not been confirmed.
+    [[nodiscard]] duration age_of(std::size_t index) const
+    {
+        return links_.now() - nodes_[index]->watch.confirmed_at();
+    }
+    [[nodiscard]] bool frozen(std::size_t index) const
+    {
+        return nodes_[index]->frozen;
+    }
+    /// @brief Number of calls to the store.
+    [[nodiscard]] std::size_t store_calls() const noexcept
+    {
+        return store_calls_;
+    }
+
+  private:
+    struct node
+    {
+        explicit node(std::size_t number)
+            : index(number), name("i" + std::to_string(number)), watch(store_watch_settings{}, number)
+        {
+        }
+        std::size_t index;
+        std::string name;
+        store_watch watch;
+        source_relay relay{watch};
+        std::size_t uplink = 0;
+        std::size_t downlink = 0;
+        bool frozen = false;
+        /// Number of the call to the store in progress.
+        std::uint64_t call_number = 0;
+        store_call call;
+        bool watch_pending = false;
+        simulated_links::transfer_id transfer = 0;
+    };
+    struct recorded_change
+    {
+        time_point at;
+        store_change change;
+    };
+
+    static constexpr duration history_kept{20'000};
+    /// The store encodes values as base64.
+    static constexpr std::size_t encoded(std::size_t bytes)
+    {
+        return bytes * 4 / 3 + 200;
+    }
+
+    /// The reader of the region; none for the reader itself.
+    std::optional<source_peer> reader_for(const node& each) const
+    {
+        return each.index == 0 ? std::nullopt : std::optional{source_peer{instance_id{nodes_[0]->name}, "0"}};
+    }
+    void request_next(node& each)
+    {
+        if (each.frozen)
+        {
+            return;
+        }
+        if (const auto pull = each.relay.next_pull(reader_for(each), links_.now()))
+        {
+            node& reader = *nodes_[0];
+            links_.schedule(shape_.peer_delay, [this, &each, &reader, pull] { handle_pull(reader, each, *pull); });
+            links_.schedule(each.relay.answer_timeout(),
+                            [this, &each, number = pull->pull_number]
+                            {
+                                if (!each.frozen && each.relay.handle_timeout(number, links_.now()))
+                                {
+                                    request_next(each);
+                                }
+                            });
+            return;
+        }
+        call_store(each);
+    }
+    void handle_pull(node& reader, node& from, const source_pull& pull)
+    {
+        if (reader.frozen)
+        {
+            return;
+        }
+        if (auto answer =
+                reader.relay.handle_pull({instance_id{from.name}, std::to_string(from.index)}, pull, links_.now()))
+        {
+            send_answer(reader, from, std::move(*answer));
+        }
+    }
+    void send_answer(node& reader, node& to, source_answer answer)
+    {
+        std::size_t bytes = 100;
+        for (const source_change& change : answer.changes)
+        {
+            bytes += change.key.size() + change.value.size();
+        }
+        links_.send({reader.uplink, to.downlink}, bytes,
+                    [this, &reader, &to, answer = std::move(answer)]
+                    {
+                        if (to.frozen || to.relay.handle_answer(instance_id{reader.name}, answer, links_.now()) ==
+                                             source_relay::answer_result::ignored)
+                        {
+                            return;
+                        }
+                        answer_pending_pulls(to, true);
+                        request_next(to);
+                    });
+    }
+    void answer_pending_pulls(node& reader, bool successful)
+    {
+        for (addressed_answer& pending : reader.relay.take_pending_answers(successful, links_.now()))
+        {
+            send_answer(reader, *nodes_[std::stoul(pending.to.address)], std::move(pending.answer));
+        }
+    }
+    void call_store(node& each)
+    {
+        ++store_calls_;
+        each.call = each.watch.next(links_.now(), each.relay.skip_watch_wait());
+        const std::uint64_t number = ++each.call_number;
+        links_.schedule(each.call.timeout, [this, &each, number] { fail_call(each, number); });
+        links_.schedule(shape_.store_delay,
+                        [this, &each, number]
+                        {
+                            if (!store_silent_ && each.call_number == number)
+                            {
+                                arrive_at_store(each, number);
+                            }
+                        });
+    }
+    void fail_call(node& each, std::uint64_t number)
+    {
+        if (each.call_number != number || each.frozen)
+        {
+            return;
+        }
+        ++each.call_number;
+        each.watch_pending = false;
+        links_.cancel(each.transfer);
+        each.relay.record_direct_read(false);
+        answer_pending_pulls(each, false);
+        links_.schedule(each.watch.record_failure(), [this, &each] { request_next(each); });
+    }
+    void arrive_at_store(node& each, std::uint64_t number)
+    {
+        const bool is_watch = each.call.what == store_call::kind::watch;
+        if (is_watch && each.call.after == revision{store_revision_} && each.call.wait > duration{})
+        {
+            each.watch_pending = true;
+            links_.schedule(each.call.wait,
+                            [this, &each, number]
+                            {
+                                if (each.call_number == number && each.watch_pending)
+                                {
+                                    answer_watch(each);
+                                }
+                            });
+        }
+        else if (is_watch)
+        {
+            answer_watch(each);
+        }
+        else
+        {
+            answer_listing(each);
+        }
+    }
+    void answer_listing(node& each)
+    {
+        store_page page;
+        page.at_revision = revision{store_revision_};
+        std::size_t bytes = 0;
+        for (const auto& [key, item] : items_)
+        {
+            page.items.push_back(item);
+            bytes += key.size() + item.value.size();
+        }
+        respond(each, bytes, [&each, page] { each.watch.handle(page); });
+    }
+    void answer_watch(node& each)
+    {
+        each.watch_pending = false;
+        store_changes changes;
+        changes.at_revision = revision{store_revision_};
+        std::size_t bytes = 0;
+        for (const recorded_change& kept : history_)
+        {
+            if (kept.change.changed <= each.call.after)
+            {
+                continue;
+            }
+            if (kept.at + history_kept < links_.now())
+            {
+                respond(each, 0, [&each] { each.watch.restart_listing(); });
+                return;
+            }
+            bytes += kept.change.key.size() + kept.change.value->size();
+            changes.changes.push_back(kept.change);
+        }
+        respond(each, bytes, [&each, changes = std::move(changes)] { each.watch.handle(changes); });
+    }
+    /// Sends a response of the store to an instance, which applies it and goes on.
+    void respond(node& each, std::size_t bytes, simulated_links::callback apply)
+    {
+        const std::uint64_t number = each.call_number;
+        const auto receive = [this, &each, number, apply = std::move(apply)]
+        {
+            if (each.call_number != number || each.frozen)
+            {
+                return;
+            }
+            ++each.call_number;
+            apply();
+            each.relay.record_direct_read(true);
+            answer_pending_pulls(each, true);
+            request_next(each);
+        };
+        links_.schedule(shape_.store_delay,
+                        [this, &each, bytes, number, receive]
+                        {
+                            if (each.call_number == number)
+                            {
+                                each.transfer = links_.send({store_link_, each.downlink}, encoded(bytes), receive);
+                            }
+                        });
+    }
+
+    simulated_links& links_;
+    region_shape shape_;
+    std::size_t store_link_ = 0;
+    std::vector<std::unique_ptr<node>> nodes_;
+    std::vector<recorded_change> history_;
+    std::map<std::string, store_item> items_;
+    std::uint64_t store_revision_ = 10;
+    std::size_t store_calls_ = 0;
+    bool store_silent_ = false;
+};
+
+} // namespace parsleyshift::test_support
