Hand out the changes of a reader that cannot confirm them

Callers got 503 from a region for 17 s after a series of changes. Cause, one of several: an instance follows the reader of its region, and a reader whose own last read failed answered "not available" and still sent the changes that it had; the followers threw them away and read the same changes from the store, over the link that all of them share.

The answer now says apart whether the changes are complete and whether they are confirmed to be the latest. A follower applies complete changes in any case, with the age of the reader's last successful read, so that a removed key is honoured no longer than before; if they are not confirmed it turns to the store, from the revision that it has then. Earlier releases leave the new field false and are treated as before.

Test: applies_the_changes_of_a_reader_that_cannot_confirm_them, which fails without the change. In reads_the_store_directly_when_the_reader_does_not_answer_or_refuses the answer of a reader without confirmation is now called unconfirmed instead of refused; that the store is read next is checked as before, and now also without waiting.

--- a/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
@@ -42,7 +42,8 @@
 /// reader. This class implements both roles. Freshness needs no synchronised clocks: the answer holds the age of the
 /// reader's last read, and this instance subtracts it from the time at which it sent the pull, which is before the
 /// reader answered. A delay of the answer therefore makes the data seem older, never newer, than it is. An instance
-/// that gets no answer reads the store itself.
+/// that gets no answer reads the store itself. A reader whose own reads fail still hands out the changes that it has,
+/// so that a follower which turns to the store asks only for what nobody in its region has.
 class source_relay
 {
   public:
@@ -52,6 +53,9 @@
         /// The answer does not belong to the pull in progress.
         ignored,
         accepted,
+        /// The changes were applied, but the reader cannot confirm that they are the latest; the caller reads the
+        /// store.
+        unconfirmed,
         /// The reader has no usable data; the caller reads the store.
         refused,
     };
--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -73,7 +73,7 @@
     /// @brief Applies changes that a peer has read; answers older than the local copy are ignored.
     /// @param requested_at time at which the pull was sent to the peer
     void apply_relayed(const source_answer& answer, time_point requested_at);
-    /// @brief Returns the changes after a revision; `available` is false when they are not all kept.
+    /// @brief Returns the changes after a revision; `available` and `complete` are false when they are not all kept.
     /// @param after revision up to which the receiver has all changes
     [[nodiscard]] source_answer changes_since(revision after, time_point now) const;
     /// @brief Starts a new listing, because the store no longer has the changes after the revision of the watch.
--- a/libs/configuration/src/source_relay.cpp
+++ b/libs/configuration/src/source_relay.cpp
@@ -24,12 +24,18 @@
     }
     const time_point sent_at = pull_in_progress_->sent_at;
     pull_in_progress_.reset();
-    if (!answer.available || answer.at_revision < watch_.as_of() || answer.age < duration{})
+    const bool complete = answer.available || answer.complete;
+    if (!complete || answer.at_revision < watch_.as_of() || answer.age < duration{})
     {
         start_direct_reads(now);
         return answer_result::refused;
     }
     watch_.apply_relayed(answer, sent_at);
+    if (!answer.available)
+    {
+        start_direct_reads(now);
+        return answer_result::unconfirmed;
+    }
     skip_watch_wait_ = false;
     source_unavailable_ = false;
     return answer_result::accepted;
--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -130,7 +130,8 @@
     source_answer answer;
     answer.available = listed_ && after >= history_start_ && after <= as_of_;
     answer.at_revision = as_of_;
-    if (!answer.available)
+    answer.complete = answer.available;
+    if (!answer.complete)
     {
         return answer;
     }
--- a/libs/configuration/tests/simulated_region.hpp
+++ b/libs/configuration/tests/simulated_region.hpp
@@ -184,12 +184,18 @@
         links_.send({reader.uplink, to.downlink}, bytes,
                     [this, &reader, &to, answer = std::move(answer)]
                     {
-                        if (to.frozen || to.relay.handle_answer(instance_id{reader.name}, answer, links_.now()) ==
-                                             source_relay::answer_result::ignored)
+                        using enum source_relay::answer_result;
+                        const auto result =
+                            to.frozen ? ignored
+                                      : to.relay.handle_answer(instance_id{reader.name}, answer, links_.now());
+                        if (result == ignored)
                         {
                             return;
                         }
-                        answer_pending_pulls(to, true);
+                        if (result != refused)
+                        {
+                            answer_pending_pulls(to, result == accepted);
+                        }
                         request_next(to);
                     });
     }
--- a/libs/configuration/tests/source_relay_test.cpp
+++ b/libs/configuration/tests/source_relay_test.cpp
@@ -158,7 +158,29 @@
     reader_relay.record_direct_read(false);
     const auto refusal = reader_relay.handle_pull(follower, second, now);
     CHECK_FALSE(refusal->available);
-    CHECK(follower_relay.handle_answer(reader.instance, *refusal, now) == source_relay::answer_result::refused);
+    CHECK(follower_relay.handle_answer(reader.instance, *refusal, now) == source_relay::answer_result::unconfirmed);
+    CHECK_FALSE(follower_relay.next_pull(reader, now).has_value());
+    CHECK_TRUE(follower_relay.skip_watch_wait());
+}
+
+// Guards against followers that discard the changes of a reader whose last read failed, and read the same changes from
+// the store.
+TEST(source_relay, applies_the_changes_of_a_reader_that_cannot_confirm_them)
+{
+    list_both();
+    const time_point confirmed = follower_watch.confirmed_at();
+    const source_pull sent = pull();
+    store.write("a", "2");
+    read_store(reader_watch);
+    now += 3'000_ms;
+    reader_relay.record_direct_read(false);
+    const auto answer = reader_relay.handle_pull(follower, sent, now);
+    CHECK_FALSE(answer->available);
+    CHECK(follower_relay.handle_answer(reader.instance, *answer, now) == source_relay::answer_result::unconfirmed);
+    STRCMP_EQUAL("2", follower_watch.items().at("a").value.c_str());
+    CHECK(follower_watch.as_of() == reader_watch.as_of());
+    // The copy is not taken for newer than the reader's last successful read.
+    CHECK(follower_watch.confirmed_at() == confirmed);
     CHECK_FALSE(follower_relay.next_pull(reader, now).has_value());
 }
 
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -98,12 +98,12 @@
             return;
         }
         pull_timer_.cancel();
-        const bool accepted = reception == source_relay::answer_result::accepted;
-        report_read(accepted ? store_read_result::complete : store_read_result::refused, size_of(answer),
-                    accepted ? "" : "the peer has no current items");
-        if (accepted)
+        const bool confirmed = reception == source_relay::answer_result::accepted;
+        report_read(confirmed ? store_read_result::complete : store_read_result::refused, size_of(answer),
+                    confirmed ? "" : "the peer cannot confirm its items");
+        if (reception != source_relay::answer_result::refused)
         {
-            publish();
+            publish(confirmed);
         }
         request_next();
     }
@@ -230,7 +230,7 @@
         }
         report_read(store_read_result::complete, answer.body.size());
         relay_.record_direct_read(true);
-        publish();
+        publish(true);
         request_next();
     }
     bool apply_page(const http_answer& response)
@@ -271,7 +271,8 @@
             });
     }
     /// Feeds new items and the time of the last confirmed state to the core, and answers the peers that wait for them.
-    void publish()
+    /// @param confirmed whether the items are proved to be the latest
+    void publish(bool confirmed)
     {
         bool endpoints_changed = false;
         for (const std::string& key : watch_.take_changed())
@@ -291,11 +292,11 @@
         {
             feed_endpoints();
         }
-        answer_peers(true);
+        answer_peers(confirmed);
     }
-    void answer_peers(bool successful)
+    void answer_peers(bool confirmed)
     {
-        for (addressed_answer& pending : relay_.take_pending_answers(successful, millisecond_clock::now()))
+        for (addressed_answer& pending : relay_.take_pending_answers(confirmed, millisecond_clock::now()))
         {
             send_answer(pending.to, std::move(pending.answer));
         }
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -373,14 +373,16 @@
 struct source_answer
 {
     std::uint64_t pull_number = 0;
-    /// False if the peer cannot provide the changes, because the configuration service does not answer the peer or the
-    /// peer has already discarded them.
+    /// True if the changes are complete and the configuration service answered the peer's last read, so that the peer
+    /// can also confirm that there are no later ones.
     bool available = false;
     /// Revision up to which the changes are complete, starting at the revision of the pull.
     revision at_revision;
     /// Time since the start of the read of the configuration service that confirmed `as_of` as the latest revision.
     duration age{};
     std::vector<source_change> changes;
+    /// True if the changes are complete up to `at_revision`. Peers of earlier releases leave it false.
+    bool complete = false;
 
     friend bool operator==(const source_answer&, const source_answer&) = default;
 };
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -232,6 +232,7 @@
     3: i64 as_of
     4: i64 age
     5: list<source_change> changes
+    6: bool complete
 }
 
 union message
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -444,6 +444,7 @@
     copy(wire.as_of, value.at_revision);
     copy(wire.age, value.age);
     copy(wire.changes, value.changes);
+    copy(wire.complete, value.complete);
 }
 
 /// @brief Calls `visit(member, message_type, is_set)` for each member of the union; the result says whether it is set.
--- a/libs/wire/tests/peer_codec_test.cpp
+++ b/libs/wire/tests/peer_codec_test.cpp
@@ -205,11 +205,15 @@
     }
     void fill(source_answer& m) const
     {
-        m = {any<std::uint64_t>(), any<bool>(), number<revision>(), duration{any<std::int32_t>()},
+        m = {any<std::uint64_t>(),
+             any<bool>(),
+             number<revision>(),
+             duration{any<std::int32_t>()},
              several(
                  [this] {
                      return source_change{text(), text(), any<bool>(), number<revision>()};
-                 })};
+                 }),
+             any<bool>()};
     }
     template <std::size_t Index>
     peer_envelope envelope() const
