Send peers the latest change of each item instead of the history

A reader kept the changes of the last 512 KB for its followers and sent all that a follower had missed: after a series of changes each of 50 KB, ten versions where the last one is enough. And when a reader had to list again, it had no history, so that it refused all its followers at once and the whole region read the store. A configuration that is larger than the history could not be passed on at all.

An answer now holds the latest change of each item after the follower's revision, so its size is bounded by that of the items. Removed keys are remembered, 1,024 at most. A follower from before the oldest of them, or from before a new listing, gets the changes and the names of the items that have not changed; what is not named was removed. The local copy stays in use while a new listing is read. Followers of earlier releases do not ask for lists of names, and are refused as before.

Tests: sends_only_the_latest_change_of_each_item and names_all_items_when_it_does_not_know_the_removed_ones, which fail without the change. refuses_a_pull_when_changes_would_be_missing checks the refusal for followers that do not accept such lists, with removals instead of a byte limit, since that limit is gone.

--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -6,7 +6,6 @@
 #include <parsleyshift/messages/store.hpp>     // store_page, store_changes
 
 #include <cstddef> // size_t
-#include <deque>   // deque
 #include <map>     // map
 #include <string>  // string
 #include <vector>  // vector
@@ -27,8 +26,8 @@
     duration initial_retry_delay{100};
     /// Upper limit of that delay, before jitter.
     duration max_retry_delay{800};
-    /// Total size of the recent changes kept for peers; a peer that needs older changes reads the store itself.
-    std::size_t max_history_bytes = std::size_t{512} * 1024;
+    /// Number of removed keys kept for peers; a peer that needs an older one gets the keys of all items instead.
+    std::size_t max_removals = 1'024;
 };
 
 /// @brief A call to make to the store.
@@ -55,6 +54,9 @@
 /// The pages of a listing are not a snapshot, so the first watch starts at the revision of the first page and repeats
 /// the changes made while later pages were read. When the store no longer has the history that a watch needs, a new
 /// listing replaces all items.
+///
+/// Peers get the latest change of each item, not the changes in between, so that the size of an answer is bounded by
+/// that of the items, however many changes a peer has missed.
 class store_watch
 {
   public:
@@ -73,10 +75,11 @@
     /// @brief Applies changes that a peer has read; answers older than the local copy are ignored.
     /// @param requested_at time at which the pull was sent to the peer
     void apply_relayed(const source_answer& answer, time_point requested_at);
-    /// @brief Returns the changes after a revision; `available` and `complete` are false when they are not all kept.
-    /// @param after revision up to which the receiver has all changes
-    [[nodiscard]] source_answer changes_since(revision after, time_point now) const;
-    /// @brief Starts a new listing, because the store no longer has the changes after the revision of the watch.
+    /// @brief Returns the answer to a pull. `available` and `complete` are false when the copy is older than the
+    /// receiver's, or when the receiver needs a list of all keys and does not accept it.
+    [[nodiscard]] source_answer answer_to(const source_pull& pull, time_point now) const;
+    /// @brief Starts a new listing, because the store no longer has the changes after the revision of the watch. The
+    /// local copy stays in use until the listing is complete.
     void restart_listing();
     /// @brief Handles a failed call.
     /// @return delay before the next call
@@ -101,7 +104,7 @@
     {
         return as_of_;
     }
-    /// @brief True while the local copy is complete, so that next() returns watches.
+    /// @brief True once a first listing is complete.
     [[nodiscard]] bool listed() const noexcept
     {
         return listed_;
@@ -110,17 +113,19 @@
   private:
     void finish_listing();
     void apply(const source_change& change);
-    void append_to_history(const source_change& change);
+    void record_removal(const source_change& change);
+    void remove_unlisted(const source_answer& answer);
+    /// Forgets which items were removed up to a revision.
+    void forget_removals(revision up_to);
 
     store_watch_settings settings_;
     random_source random_;
     std::map<std::string, store_item> items_;
     std::map<std::string, store_item> listing_;
     std::vector<std::string> changed_;
-    /// All changes after `history_start_`, in order.
-    std::deque<source_change> history_;
-    std::size_t history_bytes_ = 0;
-    revision history_start_;
+    /// Revisions at which items were removed; complete for removals after `removals_known_since_`.
+    std::map<std::string, revision> removals_;
+    revision removals_known_since_;
     std::string last_key_;
     revision as_of_;
     revision listing_as_of_;
@@ -128,6 +133,8 @@
     time_point listing_started_at_;
     time_point confirmed_ = time_point::min();
     bool listed_ = false;
+    /// The next call is part of a listing, because there is none yet or the last one is out of date.
+    bool listing_needed_ = true;
     bool listing_in_progress_ = false;
     int consecutive_failures_ = 0;
 };
--- a/libs/configuration/src/source_relay.cpp
+++ b/libs/configuration/src/source_relay.cpp
@@ -12,7 +12,7 @@
         return std::nullopt;
     }
     pull_in_progress_ = sent_pull{reader->instance, ++last_pull_number_, now};
-    return source_pull{last_pull_number_, watch_.as_of()};
+    return source_pull{last_pull_number_, watch_.as_of(), true};
 }
 
 source_relay::answer_result source_relay::handle_answer(const instance_id& from, const source_answer& answer,
@@ -79,8 +79,7 @@
         pending_pulls_.push_back({from, pull});
         return std::nullopt;
     }
-    source_answer answer = watch_.changes_since(pull.known_revision, now);
-    answer.pull_number = pull.pull_number;
+    source_answer answer = watch_.answer_to(pull, now);
     answer.available = answer.available && !source_unavailable_;
     return answer;
 }
@@ -90,8 +89,7 @@
     std::vector<addressed_answer> answers;
     for (pending_pull& pending : std::exchange(pending_pulls_, {}))
     {
-        source_answer answer = watch_.changes_since(pending.pull.known_revision, now);
-        answer.pull_number = pending.pull.pull_number;
+        source_answer answer = watch_.answer_to(pending.pull, now);
         answer.available = answer.available && successful;
         answers.push_back({std::move(pending.from), std::move(answer)});
     }
--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -1,6 +1,8 @@
 #include <parsleyshift/configuration/store_watch.hpp> // store_watch
 
-#include <algorithm> // max, min
+#include <algorithm> // max, min, min_element
+#include <iterator>  // next
+#include <set>       // set
 #include <utility>   // move
 
 namespace parsleyshift
@@ -21,7 +23,7 @@
 {
     call_started_at_ = now;
     store_call call;
-    if (listed_)
+    if (!listing_needed_)
     {
         call.what = store_call::kind::watch;
         call.after = as_of_;
@@ -89,11 +91,10 @@
     items_ = std::move(listing_);
     listing_.clear();
     as_of_ = listing_as_of_;
-    history_.clear();
-    history_bytes_ = 0;
-    history_start_ = as_of_;
+    forget_removals(as_of_);
     confirmed_ = std::max(confirmed_, listing_started_at_);
     listed_ = true;
+    listing_needed_ = false;
 }
 
 void store_watch::handle(const store_changes& answer)
@@ -121,26 +122,66 @@
     {
         apply(change);
     }
+    if (answer.lists_all)
+    {
+        remove_unlisted(answer);
+    }
     as_of_ = answer.at_revision;
     confirmed_ = std::max(confirmed_, requested_at - answer.age);
+    listing_needed_ = false;
+    listing_in_progress_ = false;
 }
 
-source_answer store_watch::changes_since(revision after, time_point now) const
+void store_watch::remove_unlisted(const source_answer& answer)
 {
+    std::set<std::string> listed_keys(answer.unchanged_keys.begin(), answer.unchanged_keys.end());
+    for (const source_change& change : answer.changes)
+    {
+        listed_keys.insert(change.key);
+    }
+    for (auto item = items_.begin(); item != items_.end();)
+    {
+        // A later page of a listing may have brought an item that is newer than the answer.
+        const bool removed = !listed_keys.contains(item->first) && item->second.changed <= answer.at_revision;
+        if (removed)
+        {
+            changed_.push_back(item->first);
+        }
+        item = removed ? items_.erase(item) : std::next(item);
+    }
+    forget_removals(answer.at_revision);
+}
+
+source_answer store_watch::answer_to(const source_pull& pull, time_point now) const
+{
+    const revision after = pull.known_revision;
     source_answer answer;
-    answer.available = listed_ && after >= history_start_ && after <= as_of_;
+    answer.pull_number = pull.pull_number;
     answer.at_revision = as_of_;
+    answer.lists_all = after < removals_known_since_;
+    answer.available = listed_ && after <= as_of_ && (!answer.lists_all || pull.accepts_listing);
     answer.complete = answer.available;
     if (!answer.complete)
     {
         return answer;
     }
     answer.age = now - confirmed_;
-    for (const source_change& change : history_)
+    for (const auto& [key, item] : items_)
     {
-        if (change.changed > after)
+        if (item.changed > after)
+        {
+            answer.changes.push_back({key, item.value, false, item.changed});
+        }
+        else if (answer.lists_all)
         {
-            answer.changes.push_back(change);
+            answer.unchanged_keys.push_back(key);
+        }
+    }
+    for (const auto& [key, removed_at] : removals_)
+    {
+        if (removed_at > after && !answer.lists_all)
+        {
+            answer.changes.push_back({key, {}, true, removed_at});
         }
     }
     return answer;
@@ -148,9 +189,6 @@
 
 void store_watch::apply(const source_change& change)
 {
-    // Also records a change that a later page of the listing already contained: a peer whose listing was earlier
-    // needs it.
-    append_to_history(change);
     const auto existing = items_.find(change.key);
     const bool older = existing != items_.end() && change.changed <= existing->second.changed;
     if (older)
@@ -161,29 +199,37 @@
     if (change.removed)
     {
         items_.erase(change.key);
+        record_removal(change);
     }
     else
     {
+        removals_.erase(change.key);
         items_.insert_or_assign(change.key, store_item{change.key, change.value, change.changed});
     }
 }
 
-void store_watch::append_to_history(const source_change& change)
+void store_watch::record_removal(const source_change& change)
 {
-    history_.push_back(change);
-    history_bytes_ += change.key.size() + change.value.size();
-    while (history_bytes_ > settings_.max_history_bytes)
+    removals_.insert_or_assign(change.key, change.changed);
+    if (removals_.size() > settings_.max_removals)
     {
-        history_start_ = std::max(history_start_, history_.front().changed);
-        history_bytes_ -= history_.front().key.size() + history_.front().value.size();
-        history_.pop_front();
+        const auto oldest = std::min_element(removals_.begin(), removals_.end(),
+                                             [](const auto& a, const auto& b) { return a.second < b.second; });
+        removals_known_since_ = std::max(removals_known_since_, oldest->second);
+        removals_.erase(oldest);
     }
 }
 
+void store_watch::forget_removals(revision up_to)
+{
+    removals_.clear();
+    removals_known_since_ = std::max(removals_known_since_, up_to);
+}
+
 void store_watch::restart_listing()
 {
     consecutive_failures_ = 0;
-    listed_ = false;
+    listing_needed_ = true;
     listing_in_progress_ = false;
 }
 
--- a/libs/configuration/tests/source_relay_test.cpp
+++ b/libs/configuration/tests/source_relay_test.cpp
@@ -3,11 +3,12 @@
 #include <parsleyshift/configuration/source_relay.hpp> // source_relay
 #include <parsleyshift/core/random_source.hpp>         // random_source
 
-#include <map>      // map
-#include <optional> // optional
-#include <string>   // string, to_string
-#include <utility>  // move
-#include <vector>   // vector
+#include <algorithm> // find
+#include <map>       // map
+#include <optional>  // optional
+#include <string>    // string, to_string
+#include <utility>   // move
+#include <vector>    // vector
 
 using namespace parsleyshift;
 using namespace parsleyshift::literals;
@@ -223,27 +224,68 @@
     STRCMP_EQUAL("1", follower_watch.items().at("a").value.c_str());
 }
 
-// Guards against a gap in the changes: a reader that has dropped some of the changes after the follower's revision must
-// refuse instead of sending the later ones only.
+// Guards against a gap in the changes: a reader that does not know which items were removed after the follower's
+// revision must not send the other changes only.
 TEST(source_relay, refuses_a_pull_when_changes_would_be_missing)
 {
     list_both();
-    const source_pull sent = pull();
+    const source_pull without_listing{1, follower_watch.as_of()};
     store.write("a", "2");
     reader_watch.restart_listing();
     read_store(reader_watch);
-    CHECK_FALSE(reader_relay.handle_pull(follower, sent, now)->available);
+    const auto refusal = reader_relay.handle_pull(follower, without_listing, now);
+    CHECK_FALSE(refusal->available);
+    CHECK_FALSE(refusal->complete);
     store_watch_settings small;
-    // Holds one of the two changes written below, which have 3 bytes each.
-    small.max_history_bytes = 4;
-    store_watch short_history_watch{small, 3};
-    source_relay relay{short_history_watch};
-    read_store(short_history_watch);
-    const revision known = short_history_watch.as_of();
-    store.write("b", "12");
-    store.write("c", "34");
-    read_store(short_history_watch);
+    // One of the two removals below.
+    small.max_removals = 1;
+    store_watch short_memory_watch{small, 3};
+    source_relay relay{short_memory_watch};
+    read_store(short_memory_watch);
+    const revision known = short_memory_watch.as_of();
+    store.write("b", std::nullopt);
+    store.write("c", std::nullopt);
+    read_store(short_memory_watch);
     CHECK_FALSE(relay.handle_pull(follower, {1, known}, now)->available);
+    CHECK_TRUE(relay.handle_pull(follower, {1, known, true}, now)->available);
+}
+
+// Guards against an item that stays at a follower for good: it was removed before the listing of the reader, which does
+// not know it, and against a region that turns to the store because its reader has listed again.
+TEST(source_relay, names_all_items_when_it_does_not_know_the_removed_ones)
+{
+    store.write("removed", "1");
+    list_both();
+    const source_pull sent = pull();
+    store.write("removed", std::nullopt);
+    store.write("b", "1");
+    reader_watch.restart_listing();
+    read_store(reader_watch);
+    const auto answer = reader_relay.handle_pull(follower, sent, now);
+    CHECK_TRUE(answer->lists_all);
+    // Only the value of the new item is sent.
+    LONGS_EQUAL(1, answer->changes.size());
+    CHECK(follower_relay.handle_answer(reader.instance, *answer, now) == source_relay::answer_result::accepted);
+    CHECK(follower_watch.items() == store.items());
+    const auto changed = follower_watch.take_changed();
+    CHECK(std::find(changed.begin(), changed.end(), "removed") != changed.end());
+}
+
+// Guards against answers that grow with the number of changes that a follower has missed.
+TEST(source_relay, sends_only_the_latest_change_of_each_item)
+{
+    list_both();
+    const source_pull sent = pull();
+    for (int version = 0; version < 50; ++version)
+    {
+        store.write("a", std::to_string(version));
+        store.write("b", version % 2 == 0 ? std::optional{"1"} : std::nullopt);
+    }
+    read_store(reader_watch);
+    const auto answer = reader_relay.handle_pull(follower, sent, now);
+    LONGS_EQUAL(2, answer->changes.size());
+    CHECK(follower_relay.handle_answer(reader.instance, *answer, now) == source_relay::answer_result::accepted);
+    CHECK(follower_watch.items() == store.items());
 }
 
 // Guards against a change that a follower never receives: a later page of the reader's listing already contained it, so
@@ -266,6 +308,7 @@
     const auto answer = relay.handle_pull(follower, {1, follower_watch.as_of()}, now);
     CHECK_TRUE(answer->available);
     LONGS_EQUAL(1, answer->changes.size());
+    CHECK(answer->changes[0].changed == revision{12});
 }
 
 TEST_GROUP(source_relay_schedules){};
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -352,6 +352,8 @@
     std::uint64_t pull_number = 0;
     /// Revision up to which the requesting instance holds all changes.
     revision known_revision;
+    /// True if the requesting instance handles answers with `lists_all`. Instances of earlier releases leave it false.
+    bool accepts_listing = false;
 
     friend bool operator==(const source_pull&, const source_pull&) = default;
 };
@@ -383,6 +385,11 @@
     std::vector<source_change> changes;
     /// True if the changes are complete up to `at_revision`. Peers of earlier releases leave it false.
     bool complete = false;
+    /// True if `changes` and `unchanged_keys` name all items, because the peer does not know which items were removed
+    /// since the revision of the pull. Items that are not named were removed.
+    bool lists_all = false;
+    /// With lists_all: keys of the items that have not changed since the revision of the pull.
+    std::vector<std::string> unchanged_keys;
 
     friend bool operator==(const source_answer&, const source_answer&) = default;
 };
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -215,6 +215,7 @@
 {
     1: i64 number
     2: i64 known
+    3: bool accepts_listing
 }
 
 struct source_change
@@ -233,6 +234,8 @@
     4: i64 age
     5: list<source_change> changes
     6: bool complete
+    7: bool lists_all
+    8: list<string> unchanged_keys
 }
 
 union message
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -427,6 +427,7 @@
 {
     copy(wire.number, value.pull_number);
     copy(wire.known, value.known_revision);
+    copy(wire.accepts_listing, value.accepts_listing);
 }
 
 void fields(auto copy, auto& wire, like<source_change> auto& value)
@@ -445,6 +446,8 @@
     copy(wire.age, value.age);
     copy(wire.changes, value.changes);
     copy(wire.complete, value.complete);
+    copy(wire.lists_all, value.lists_all);
+    copy(wire.unchanged_keys, value.unchanged_keys);
 }
 
 /// @brief Calls `visit(member, message_type, is_set)` for each member of the union; the result says whether it is set.
--- a/libs/wire/tests/peer_codec_test.cpp
+++ b/libs/wire/tests/peer_codec_test.cpp
@@ -201,7 +201,7 @@
     }
     void fill(source_pull& m) const
     {
-        m = {any<std::uint64_t>(), number<revision>()};
+        m = {any<std::uint64_t>(), number<revision>(), any<bool>()};
     }
     void fill(source_answer& m) const
     {
@@ -213,7 +213,9 @@
                  [this] {
                      return source_change{text(), text(), any<bool>(), number<revision>()};
                  }),
-             any<bool>()};
+             any<bool>(),
+             any<bool>(),
+             several([this] { return text(); })};
     }
     template <std::size_t Index>
     peer_envelope envelope() const
