List the store after a watch whose response was cut off

Callers of one region got 503 until 12 s after the last of a series of changes. Cause, the one that sustained it: a watch is answered with all changes after its revision, and one that did not arrive within 0.7 s was repeated from the same revision, so that each try was larger than the one before. 40 instances did so over a link that carries the response to one of them in time but not to all.

After a watch of whose response a part has arrived, or one that cannot be decoded (it may be over the size limit, and then would stay so), the next call is a listing, whose size is bounded by that of the items. A watch without any response is repeated as before, since listing costs more calls.

Tests: lists_after_a_watch_whose_response_was_cut_off, which fails without the change.

--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -81,9 +81,12 @@
     /// @brief Starts a new listing, because the store no longer has the changes after the revision of the watch. The
     /// local copy stays in use until the listing is complete.
     void restart_listing();
-    /// @brief Handles a failed call.
+    /// @brief Handles a failed call. After a watch of whose response a part has arrived, the next call is a listing:
+    /// the watch would be answered with the same changes and all that have followed, whereas a listing has each item
+    /// once.
+    /// @param response_started whether a part of the response has arrived
     /// @return delay before the next call
-    duration record_failure();
+    duration record_failure(bool response_started = false);
 
     /// @brief The local copy of the items, by key.
     [[nodiscard]] const std::map<std::string, store_item>& items() const noexcept
--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -233,10 +233,11 @@
     listing_in_progress_ = false;
 }
 
-duration store_watch::record_failure()
+duration store_watch::record_failure(bool response_started)
 {
     // The pages of an interrupted listing may be too old to continue from.
     listing_in_progress_ = false;
+    listing_needed_ = listing_needed_ || response_started;
     consecutive_failures_ = std::min(consecutive_failures_ + 1, max_counted_failures);
     const duration base =
         std::min(settings_.initial_retry_delay * (1 << (consecutive_failures_ - 1)), settings_.max_retry_delay);
--- a/libs/configuration/tests/simulated_region.hpp
+++ b/libs/configuration/tests/simulated_region.hpp
@@ -229,10 +229,10 @@
         }
         ++each.call_number;
         each.watch_pending = false;
-        links_.cancel(each.transfer);
+        const bool response_started = links_.cancel(each.transfer);
         each.relay.record_direct_read(false);
         answer_pending_pulls(each, false);
-        links_.schedule(each.watch.record_failure(), [this, &each] { request_next(each); });
+        links_.schedule(each.watch.record_failure(response_started), [this, &each] { request_next(each); });
     }
     void arrive_at_store(node& each, std::uint64_t number)
     {
--- a/libs/configuration/tests/store_watch_test.cpp
+++ b/libs/configuration/tests/store_watch_test.cpp
@@ -99,6 +99,23 @@
     CHECK(watch.take_changed().empty());
 }
 
+// Guards against a watch whose response is too large to arrive in time and gets larger with each repetition.
+TEST(store_watch, lists_after_a_watch_whose_response_was_cut_off)
+{
+    watch.next(start);
+    watch.handle(page({item("a", "1", 3)}, 10));
+    watch.next(start);
+    watch.record_failure(false);
+    CHECK(watch.next(start + 1_s).what == store_call::kind::watch);
+    watch.record_failure(true);
+    CHECK(watch.next(start + 2_s).what == store_call::kind::list);
+    // The copy stays usable until the listing is complete.
+    CHECK(watch.answer_to({1, revision{5}, true}, start + 2_s).available);
+    watch.handle(page({item("a", "2", 40)}, 41));
+    CHECK(watch.next(start + 3_s).what == store_call::kind::watch);
+    STRCMP_EQUAL("2", value_of("a").c_str());
+}
+
 // Guards against a listing that continues after a failed call and so combines pages from before and after it.
 TEST(store_watch, restarts_an_interrupted_listing)
 {
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -204,8 +204,9 @@
         constexpr unsigned ok = 200;
         if (!response.has_value())
         {
-            report_read(store_read_result::no_response, response.error().received_bytes, response.error().message);
-            schedule_retry();
+            const http_failure& failure = response.error();
+            report_read(store_read_result::no_response, failure.received_bytes, failure.message);
+            schedule_retry(failure.received_bytes > 0);
             return;
         }
         const http_answer& answer = response.value();
@@ -219,13 +220,13 @@
         if (answer.status != ok)
         {
             report_read(store_read_result::refused, answer.body.size(), "status " + std::to_string(answer.status));
-            schedule_retry();
+            schedule_retry(false);
             return;
         }
         if (!(is_listing ? apply_page(answer) : apply_changes(answer)))
         {
             report_read(store_read_result::malformed, answer.body.size());
-            schedule_retry();
+            schedule_retry(true);
             return;
         }
         report_read(store_read_result::complete, answer.body.size());
@@ -255,12 +256,13 @@
         watch_.handle(changes.value());
         return true;
     }
-    void schedule_retry()
+    /// @param response_started whether a part of a response has arrived, or one that cannot be decoded
+    void schedule_retry(bool response_started)
     {
         relay_.record_direct_read(false);
         answer_peers(false);
         callbacks_.feed(configuration_unavailable{});
-        retry_timer_.expires_after(watch_.record_failure());
+        retry_timer_.expires_after(watch_.record_failure(response_started));
         retry_timer_.async_wait(
             [this](const boost::system::error_code& failure)
             {
