Follow a second reader before the store is read

When the reader of a region did not answer, or could not confirm its data, all its followers turned to the store for 2 s, 40 at once and over one link between the regions. That is the load which the reader is there to avoid, at the moment at which the link or the store is in trouble.

Followers now know two readers, ranked as before; a reader that fails is avoided for 2 s, and only an instance without a reader left turns to the store. The second reader itself follows the first, gets no answer at the same time as the others, reads the store and answers them. An instance follows only readers that rank higher than itself, so that two never wait for each other. If both fail, the store is read after 2.4 s; the copy is then less than 3.9 s old, below the 4.3 s for which keys hold.

Tests: pulls_from_the_next_reader_before_it_reads_the_store and are_two_at_most_and_preferred_to_the_instance_itself; the tests of the one reader check the list in its place.

--- a/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
@@ -26,14 +26,21 @@
     source_answer answer;
 };
 
+/// @brief A pull and the reader to send it to.
+struct addressed_pull
+{
+    source_peer to;
+    source_pull pull;
+};
+
 /// @brief Timeouts for following a reader of a store.
 struct source_relay_settings
 {
     /// Timeout of a pull. The reader answers after its next read, which takes up to store_watch_settings::watch_wait
     /// and, while the store is slow, 300 ms more.
     duration answer_timeout{1'200};
-    /// Time for which an instance reads the store itself after its reader did not answer or had no data.
-    duration direct_read_period{2'000};
+    /// Time for which an instance does not pull from a reader that did not answer or could not confirm its data.
+    duration avoidance_period{2'000};
 };
 
 /// @brief Lets most instances follow a peer that reads the store, since every call to the store is billed.
@@ -42,8 +49,9 @@
 /// reader. This class implements both roles. Freshness needs no synchronised clocks: the answer holds the age of the
 /// reader's last read, and this instance subtracts it from the time at which it sent the pull, which is before the
 /// reader answered. A delay of the answer therefore makes the data seem older, never newer, than it is. An instance
-/// that gets no answer reads the store itself. A reader whose own reads fail still hands out the changes that it has,
-/// so that a follower which turns to the store asks only for what nobody in its region has.
+/// that gets no answer from one reader pulls from the next, and reads the store itself when none is left. A reader
+/// whose own reads fail still hands out the changes that it has, so that a follower which turns to the store asks only
+/// for what nobody in its region has.
 class source_relay
 {
   public:
@@ -53,10 +61,9 @@
         /// The answer does not belong to the pull in progress.
         ignored,
         accepted,
-        /// The changes were applied, but the reader cannot confirm that they are the latest; the caller reads the
-        /// store.
+        /// The changes were applied, but the reader cannot confirm that they are the latest.
         unconfirmed,
-        /// The reader has no usable data; the caller reads the store.
+        /// The reader has no usable data.
         refused,
     };
 
@@ -66,15 +73,15 @@
     }
 
     /// @brief Starts a pull.
-    /// @param reader the reader that this instance follows, if any
-    /// @return the pull to send, or nothing when the caller reads the store itself
-    std::optional<source_pull> next_pull(const std::optional<source_peer>& reader, time_point now);
+    /// @param readers the readers that this instance may follow, the preferred one first
+    /// @return the pull to send and its receiver, or nothing when the caller reads the store itself
+    std::optional<addressed_pull> next_pull(const std::vector<source_peer>& readers, time_point now);
     /// @brief Handles an answer of a reader.
     answer_result handle_answer(const instance_id& from, const source_answer& answer, time_point now);
-    /// @brief Handles a pull that was not answered within `answer_timeout()`; direct reads follow.
+    /// @brief Handles a pull that was not answered within `answer_timeout()`; the next reader or direct reads follow.
     /// @return false when the pull is no longer in progress
     bool handle_timeout(std::uint64_t number, time_point now);
-    /// @brief Records a direct read of the store; after a failed one, the next pull may be sent at once.
+    /// @brief Records a direct read of the store; after a failed one, no reader is avoided any longer.
     void record_direct_read(bool successful);
     /// @brief True when the next watch of the store should return at once, because a pull has failed and neither
     /// a direct read nor an accepted answer has followed it.
@@ -108,13 +115,20 @@
         time_point sent_at;
     };
 
-    void start_direct_reads(time_point now);
+    struct avoided_reader
+    {
+        instance_id instance;
+        time_point until;
+    };
+
+    void avoid(const instance_id& reader, time_point now);
+    [[nodiscard]] bool is_avoided(const source_peer& reader) const;
 
     store_watch& watch_;
     source_relay_settings settings_;
     std::optional<sent_pull> pull_in_progress_;
     std::uint64_t last_pull_number_ = 0;
-    time_point direct_until_;
+    std::vector<avoided_reader> avoided_;
     bool skip_watch_wait_ = false;
     bool source_unavailable_ = false;
     std::vector<pending_pull> pending_pulls_;
--- a/libs/configuration/src/source_relay.cpp
+++ b/libs/configuration/src/source_relay.cpp
@@ -1,18 +1,22 @@
 #include <parsleyshift/configuration/source_relay.hpp> // source_relay
 
-#include <utility> // exchange, move
+#include <algorithm> // any_of, find_if
+#include <utility>   // exchange, move
 
 namespace parsleyshift
 {
 
-std::optional<source_pull> source_relay::next_pull(const std::optional<source_peer>& reader, time_point now)
+std::optional<addressed_pull> source_relay::next_pull(const std::vector<source_peer>& readers, time_point now)
 {
-    if (!reader || !watch_.listed() || now < direct_until_)
+    std::erase_if(avoided_, [now](const avoided_reader& each) { return each.until <= now; });
+    const auto reader =
+        std::find_if(readers.begin(), readers.end(), [this](const source_peer& each) { return !is_avoided(each); });
+    if (reader == readers.end() || !watch_.listed())
     {
         return std::nullopt;
     }
     pull_in_progress_ = sent_pull{reader->instance, ++last_pull_number_, now};
-    return source_pull{last_pull_number_, watch_.as_of(), true};
+    return addressed_pull{*reader, {last_pull_number_, watch_.as_of(), true}};
 }
 
 source_relay::answer_result source_relay::handle_answer(const instance_id& from, const source_answer& answer,
@@ -27,13 +31,13 @@
     const bool complete = answer.available || answer.complete;
     if (!complete || answer.at_revision < watch_.as_of() || answer.age < duration{})
     {
-        start_direct_reads(now);
+        avoid(from, now);
         return answer_result::refused;
     }
     watch_.apply_relayed(answer, sent_at);
     if (!answer.available)
     {
-        start_direct_reads(now);
+        avoid(from, now);
         return answer_result::unconfirmed;
     }
     skip_watch_wait_ = false;
@@ -47,24 +51,30 @@
     {
         return false;
     }
+    avoid(pull_in_progress_->to, now);
     pull_in_progress_.reset();
-    start_direct_reads(now);
     return true;
 }
 
-void source_relay::start_direct_reads(time_point now)
+void source_relay::avoid(const instance_id& reader, time_point now)
 {
-    direct_until_ = now + settings_.direct_read_period;
+    avoided_.push_back({reader, now + settings_.avoidance_period});
     skip_watch_wait_ = true;
 }
 
+bool source_relay::is_avoided(const source_peer& reader) const
+{
+    return std::any_of(avoided_.begin(), avoided_.end(),
+                       [&reader](const avoided_reader& each) { return each.instance == reader.instance; });
+}
+
 void source_relay::record_direct_read(bool successful)
 {
     skip_watch_wait_ = false;
     source_unavailable_ = !successful;
     if (!successful)
     {
-        direct_until_ = time_point{};
+        avoided_.clear();
     }
 }
 
--- a/libs/configuration/tests/simulated_region.hpp
+++ b/libs/configuration/tests/simulated_region.hpp
@@ -4,14 +4,15 @@
 
 #include <parsleyshift/configuration/source_relay.hpp> // source_relay
 
-#include <cstddef>  // size_t
-#include <cstdint>  // uint64_t
-#include <map>      // map
-#include <memory>   // unique_ptr
-#include <optional> // optional
-#include <string>   // string
-#include <utility>  // move
-#include <vector>   // vector
+#include <algorithm> // min
+#include <cstddef>   // size_t
+#include <cstdint>   // uint64_t
+#include <map>       // map
+#include <memory>    // unique_ptr
+#include <optional>  // optional
+#include <string>    // string
+#include <utility>   // move
+#include <vector>    // vector
 
 namespace parsleyshift::test_support
 {
@@ -135,10 +136,15 @@
         return bytes * 4 / 3 + 200;
     }
 
-    /// The reader of the region; none for the reader itself.
-    std::optional<source_peer> reader_for(const node& each) const
+    /// The readers of the region are the first two instances; each follows only those before it.
+    std::vector<source_peer> readers_for(const node& each) const
     {
-        return each.index == 0 ? std::nullopt : std::optional{source_peer{instance_id{nodes_[0]->name}, "0"}};
+        std::vector<source_peer> readers;
+        for (std::size_t index = 0; index < std::min<std::size_t>(each.index, 2); ++index)
+        {
+            readers.push_back({instance_id{nodes_[index]->name}, std::to_string(index)});
+        }
+        return readers;
     }
     void request_next(node& each)
     {
@@ -146,12 +152,13 @@
         {
             return;
         }
-        if (const auto pull = each.relay.next_pull(reader_for(each), links_.now()))
+        if (const auto next = each.relay.next_pull(readers_for(each), links_.now()))
         {
-            node& reader = *nodes_[0];
-            links_.schedule(shape_.peer_delay, [this, &each, &reader, pull] { handle_pull(reader, each, *pull); });
+            node& reader = *nodes_[std::stoul(next->to.address)];
+            links_.schedule(shape_.peer_delay,
+                            [this, &each, &reader, pull = next->pull] { handle_pull(reader, each, pull); });
             links_.schedule(each.relay.answer_timeout(),
-                            [this, &each, number = pull->pull_number]
+                            [this, &each, number = next->pull.pull_number]
                             {
                                 if (!each.frozen && each.relay.handle_timeout(number, links_.now()))
                                 {
--- a/libs/configuration/tests/source_relay_test.cpp
+++ b/libs/configuration/tests/source_relay_test.cpp
@@ -18,6 +18,7 @@
 
 constexpr time_point start = at_ms(1'000'000);
 const source_peer reader{instance_id{"reader"}, "10.0.0.1:1"};
+const source_peer second_reader{instance_id{"second"}, "10.0.0.3:1"};
 const source_peer follower{instance_id{"follower"}, "10.0.0.2:1"};
 
 /// A store that increments its revision with each write and keeps the full history for watches.
@@ -102,7 +103,7 @@
     }
     source_pull pull()
     {
-        return *follower_relay.next_pull(reader, now);
+        return follower_relay.next_pull({reader}, now)->pull;
     }
 };
 
@@ -148,8 +149,8 @@
     const source_pull first = pull();
     CHECK_TRUE(follower_relay.handle_timeout(first.pull_number, now));
     CHECK_FALSE(follower_relay.handle_timeout(first.pull_number, now));
-    // 1 ms before the end of the default direct_read_period.
-    CHECK_FALSE(follower_relay.next_pull(reader, now + 1'999_ms).has_value());
+    // 1 ms before the end of the default avoidance_period.
+    CHECK_FALSE(follower_relay.next_pull({reader}, now + 1'999_ms).has_value());
     CHECK_TRUE(follower_relay.skip_watch_wait());
     LONGS_EQUAL(0, follower_watch.next(now, follower_relay.skip_watch_wait()).wait.count());
     follower_relay.record_direct_read(true);
@@ -160,10 +161,30 @@
     const auto refusal = reader_relay.handle_pull(follower, second, now);
     CHECK_FALSE(refusal->available);
     CHECK(follower_relay.handle_answer(reader.instance, *refusal, now) == source_relay::answer_result::unconfirmed);
-    CHECK_FALSE(follower_relay.next_pull(reader, now).has_value());
+    CHECK_FALSE(follower_relay.next_pull({reader}, now).has_value());
     CHECK_TRUE(follower_relay.skip_watch_wait());
 }
 
+// Guards against a region whose instances all read the store because one reader does not answer.
+TEST(source_relay, pulls_from_the_next_reader_before_it_reads_the_store)
+{
+    list_both();
+    const std::vector<source_peer> readers{reader, second_reader};
+    const auto first = follower_relay.next_pull(readers, now);
+    CHECK(first->to.instance == reader.instance);
+    follower_relay.handle_timeout(first->pull.pull_number, now);
+    const auto second = follower_relay.next_pull(readers, now);
+    CHECK(second->to.instance == second_reader.instance);
+    // An answer of the first reader that arrives now is not one to the second pull.
+    source_answer late;
+    late.pull_number = second->pull.pull_number;
+    late.available = true;
+    CHECK(follower_relay.handle_answer(reader.instance, late, now) == source_relay::answer_result::ignored);
+    follower_relay.handle_timeout(second->pull.pull_number, now);
+    CHECK_FALSE(follower_relay.next_pull(readers, now).has_value());
+    CHECK(follower_relay.next_pull(readers, now + 2'000_ms)->to.instance == reader.instance);
+}
+
 // Guards against followers that discard the changes of a reader whose last read failed, and read the same changes from
 // the store.
 TEST(source_relay, applies_the_changes_of_a_reader_that_cannot_confirm_them)
@@ -182,7 +203,7 @@
     CHECK(follower_watch.as_of() == reader_watch.as_of());
     // The copy is not taken for newer than the reader's last successful read.
     CHECK(follower_watch.confirmed_at() == confirmed);
-    CHECK_FALSE(follower_relay.next_pull(reader, now).has_value());
+    CHECK_FALSE(follower_relay.next_pull({reader}, now).has_value());
 }
 
 // Guards against an instance that cannot reach the store and still waits for the end of its direct reads before it
@@ -192,7 +213,7 @@
     list_both();
     follower_relay.handle_timeout(pull().pull_number, now);
     follower_relay.record_direct_read(false);
-    CHECK_TRUE(follower_relay.next_pull(reader, now).has_value());
+    CHECK_TRUE(follower_relay.next_pull({reader}, now).has_value());
 }
 
 // Guards against followers whose pending pulls are never answered when the reader can no longer read the store.
@@ -368,9 +389,10 @@
                     }
                     break;
                 case 3:
-                    sent = follower_relay.next_pull(reader, now);
-                    if (sent)
+                    sent.reset();
+                    if (const auto next = follower_relay.next_pull({reader}, now))
                     {
+                        sent = next->pull;
                         if (auto answer = reader_relay.handle_pull(follower, *sent, now))
                         {
                             answer_in_flight = std::move(answer);
--- a/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
@@ -74,6 +74,8 @@
     /// are leaving. A watch of the source is answered within 0.7 s, and within a further 0.3 s while the source is
     /// slow.
     duration source_answer_timeout{1'150};
+    /// Number of instances of a region that its other instances may follow instead of reading the configuration source.
+    std::size_t source_readers = 2;
     /// A caller is assumed to have abandoned its stream after a pause of `silence_objective_multiple` times the route's
     /// latency objective, but not before `min_silence`.
     int silence_objective_multiple = 4;
--- a/libs/decision_core/include/parsleyshift/decision_core/forwarding_core.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/forwarding_core.hpp
@@ -7,10 +7,9 @@
 #include <parsleyshift/messages/action.hpp>             // action
 #include <parsleyshift/messages/event.hpp>              // event
 
-#include <memory>   // unique_ptr
-#include <optional> // optional
-#include <string>   // string
-#include <vector>   // vector
+#include <memory> // unique_ptr
+#include <string> // string
+#include <vector> // vector
 
 namespace parsleyshift
 {
@@ -59,10 +58,10 @@
     [[nodiscard]] bool ready(time_point now) const;
     /// @brief True once a stop is planned.
     [[nodiscard]] bool stopping() const;
-    /// @brief Peer from which this instance gets the configuration's source data, so that only one instance of each
-    /// region reads the source.
-    /// @return nothing when this instance reads the source itself
-    [[nodiscard]] std::optional<source_peer> reading_peer() const;
+    /// @brief Peers from which this instance gets the configuration's source data, the preferred one first, so that one
+    /// instance of each region reads the source and another one takes its place when it does not answer.
+    /// @return none when this instance reads the source itself
+    [[nodiscard]] std::vector<source_peer> reading_peers() const;
     /// @brief Bounds on callers' input from the configuration in force, or the defaults before there is one.
     [[nodiscard]] const forwarding_limits& bounds() const;
     /// @brief Replaces the hints and joins the fleet again through the new addresses at the next event.
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -8,10 +8,11 @@
 
 #include <parsleyshift/core/hash.hpp> // rendezvous_score
 
-#include <algorithm> // count_if, max, min
-#include <cstddef>   // ptrdiff_t
-#include <utility>   // exchange, move
-#include <variant>   // visit
+#include <algorithm>  // count_if, max, min, partial_sort
+#include <cstddef>    // ptrdiff_t
+#include <functional> // greater
+#include <utility>    // exchange, move, pair
+#include <variant>    // visit
 
 namespace parsleyshift
 {
@@ -97,25 +98,32 @@
     {
         return state_.stopping;
     }
-    [[nodiscard]] std::optional<source_peer> reading_peer() const
+    [[nodiscard]] std::vector<source_peer> reading_peers() const
     {
-        const member_update* best = nullptr;
-        std::uint64_t highest_score = 0;
+        using scored_member = std::pair<std::uint64_t, const member_update*>;
+        std::vector<scored_member> candidates;
         for (const member_update& member : state_.members.members())
         {
-            const std::uint64_t score = rendezvous_score("source reader", member.instance.value());
-            const bool eligible = member.state == member_state::alive && member.region == state_.self().region;
-            if (eligible && (best == nullptr || score > highest_score))
+            if (member.state == member_state::alive && member.region == state_.self().region)
             {
-                best = &member;
-                highest_score = score;
+                candidates.emplace_back(rendezvous_score("source reader", member.instance.value()), &member);
             }
         }
-        if (best == nullptr || best->instance == state_.self().instance || best->peer_address.empty())
+        const std::size_t count = std::min(candidates.size(), state_.settings.forwarding.source_readers);
+        std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(),
+                          std::greater<>{});
+        candidates.resize(count);
+        std::vector<source_peer> readers;
+        for (const auto& [score, member] : candidates)
         {
-            return std::nullopt;
+            // An instance follows only readers that are preferred to itself, so that two never wait for each other.
+            if (member->instance == state_.self().instance || member->peer_address.empty())
+            {
+                break;
+            }
+            readers.push_back({member->instance, member->peer_address});
         }
-        return source_peer{best->instance, best->peer_address};
+        return readers;
     }
     [[nodiscard]] const forwarding_limits& bounds() const
     {
@@ -541,9 +549,9 @@
     return implementation_->stopping();
 }
 
-std::optional<source_peer> forwarding_core::reading_peer() const
+std::vector<source_peer> forwarding_core::reading_peers() const
 {
-    return implementation_->reading_peer();
+    return implementation_->reading_peers();
 }
 
 const forwarding_limits& forwarding_core::bounds() const
--- a/libs/decision_core/tests/single_core.hpp
+++ b/libs/decision_core/tests/single_core.hpp
@@ -155,9 +155,9 @@
     {
         return core_.ready(now);
     }
-    [[nodiscard]] std::optional<source_peer> reading_peer() const
+    [[nodiscard]] std::vector<source_peer> reading_peers() const
     {
-        return core_.reading_peer();
+        return core_.reading_peers();
     }
     /// @brief Receives a message from a peer that announces its own membership state.
     void receive_member_update(const std::string& peer, const region_id& region, member_state state)
--- a/libs/decision_core/tests/source_reader_test.cpp
+++ b/libs/decision_core/tests/source_reader_test.cpp
@@ -9,16 +9,16 @@
 using namespace parsleyshift::literals;
 using namespace parsleyshift::test;
 
-TEST_GROUP_BASE(reading_peer, core_fixture){};
+TEST_GROUP_BASE(reading_peers, core_fixture){};
 
 // Guards against a single instance that waits for a peer to read the source.
-TEST(reading_peer, is_the_instance_itself_without_peers)
+TEST(reading_peers, are_none_without_peers)
 {
-    CHECK_FALSE(core.reading_peer().has_value());
+    CHECK(core.reading_peers().empty());
 }
 
 // Guards against source data that crosses the slow link between regions, and against a reader that has left.
-TEST(reading_peer, is_a_live_peer_of_the_region)
+TEST(reading_peers, are_live_peers_of_the_region)
 {
     const region_id own_region{"r"};
     std::set<std::string> readers;
@@ -27,16 +27,43 @@
         const std::string peer = "p" + std::to_string(each);
         core.receive_member_update("far" + peer, region_id{"other"}, member_state::alive);
         core.receive_member_update(peer, own_region, member_state::alive);
-        const auto reader = core.reading_peer();
-        if (reader)
+        for (const source_peer& reader : core.reading_peers())
         {
-            readers.insert(reader->instance.value());
-            CHECK(reader->instance.value().starts_with("p"));
-            STRCMP_EQUAL("10.1.0.1:81", reader->address.c_str());
+            readers.insert(reader.instance.value());
+            CHECK(reader.instance.value().starts_with("p"));
+            STRCMP_EQUAL("10.1.0.1:81", reader.address.c_str());
         }
     }
     CHECK_FALSE(readers.empty());
-    const std::string current = core.reading_peer()->instance.value();
+    const std::string current = core.reading_peers().front().instance.value();
     core.receive_member_update(current, own_region, member_state::leaving);
-    CHECK(core.reading_peer()->instance.value() != current);
+    for (const source_peer& reader : core.reading_peers())
+    {
+        CHECK(reader.instance.value() != current);
+    }
+}
+
+// Guards against a region whose instances all read the source when its reader stops answering, and against two
+// instances that wait for each other.
+TEST(reading_peers, are_two_at_most_and_preferred_to_the_instance_itself)
+{
+    const region_id own_region{"r"};
+    for (int each = 0; each < 30; ++each)
+    {
+        core.receive_member_update("p" + std::to_string(each), own_region, member_state::alive);
+    }
+    const auto readers = core.reading_peers();
+    LONGS_EQUAL(2, readers.size());
+    CHECK(readers[0].instance != readers[1].instance);
+    core.receive_member_update(readers[0].instance.value(), own_region, member_state::leaving);
+    CHECK(core.reading_peers().front().instance == readers[1].instance);
+    // Without the members that rank higher, the instance follows fewer, and none at last.
+    std::size_t count = core.reading_peers().size();
+    while (count > 0)
+    {
+        core.receive_member_update(core.reading_peers().front().instance.value(), own_region, member_state::leaving);
+        const std::size_t next_count = core.reading_peers().size();
+        CHECK(next_count <= count);
+        count = next_count;
+    }
 }
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
@@ -282,7 +282,7 @@
     typename store_reader<P>::callbacks store_callbacks()
     {
         return {[this](const zone_id& zone) { return region_of(zone); },
-                [this] { return core_.reading_peer(); },
+                [this] { return core_.reading_peers(); },
                 [this](const source_peer& to, peer_message message)
                 {
                     send_to_peer outbound{to.instance, to.address, std::move(message)};
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -12,9 +12,9 @@
 #include <cstdint>    // uint64_t
 #include <functional> // function
 #include <map>        // map
-#include <optional>   // optional
 #include <string>     // string
 #include <utility>    // move
+#include <vector>     // vector
 
 namespace parsleyshift
 {
@@ -34,8 +34,9 @@
     {
         /// Returns the region of a zone; empty when the zone is unknown.
         std::function<region_id(const zone_id&)> region_of;
-        /// Returns the peer that reads the store for this instance; nothing when this instance reads it directly.
-        std::function<std::optional<source_peer>()> reading_peer;
+        /// Returns the peers that read the store for this instance, the preferred one first; none when this instance
+        /// reads it directly.
+        std::function<std::vector<source_peer>()> reading_peers;
         /// Sends a message to a peer.
         std::function<void(const source_peer&, peer_message)> send;
         /// Passes an event to the core.
@@ -152,12 +153,11 @@
     }
     void request_next()
     {
-        const auto reading_peer = callbacks_.reading_peer();
-        if (const auto pull = relay_.next_pull(reading_peer, millisecond_clock::now()))
+        if (const auto next = relay_.next_pull(callbacks_.reading_peers(), millisecond_clock::now()))
         {
-            begin_read(store_read_source::peer, "pull from " + reading_peer->instance.value());
-            callbacks_.send(*reading_peer, *pull);
-            schedule_pull_timeout(pull->pull_number);
+            begin_read(store_read_source::peer, "pull from " + next->to.instance.value());
+            callbacks_.send(next->to, next->pull);
+            schedule_pull_timeout(next->pull.pull_number);
             return;
         }
         request_from_store();
