Compress large values on the way to peers

A version of the configuration is 54 KB at the grown sites and 390 KB after a large change, and the reader of a region sends it to 40 instances. Over a link of 10 Mbit/s that takes 1.7 s and 12 s; the followers wait 1.2 s for an answer, so all of them turned to the second reader, which then did no better, and to the store.

A value that cannot be decompressed, or would exceed 8 MB, leaves the copy as it is and the reader is avoided. Followers of earlier releases do not ask for it and get the plain value.

--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -28,6 +28,10 @@
     duration max_retry_delay{800};
     /// Number of removed keys kept for peers; a peer that needs an older one gets the keys of all items instead.
     std::size_t max_removals = 1'024;
+    /// Size in bytes from which values are sent to peers in compressed form.
+    std::size_t min_compressed_size = 1'024;
+    /// Largest size in bytes of a value that a peer has compressed.
+    std::size_t max_value_size = std::size_t{8} * 1024 * 1024;
 };
 
 /// @brief A call to make to the store.
@@ -74,10 +78,11 @@
     void handle(const store_changes& answer);
     /// @brief Applies changes that a peer has read; answers older than the local copy are ignored.
     /// @param requested_at time at which the pull was sent to the peer
-    void apply_relayed(const source_answer& answer, time_point requested_at);
+    /// @return false when a value cannot be decompressed; then nothing is applied
+    bool apply_relayed(const source_answer& answer, time_point requested_at);
     /// @brief Returns the answer to a pull. `available` and `complete` are false when the copy is older than the
     /// receiver's, or when the receiver needs a list of all keys and does not accept it.
-    [[nodiscard]] source_answer answer_to(const source_pull& pull, time_point now) const;
+    [[nodiscard]] source_answer answer_to(const source_pull& pull, time_point now);
     /// @brief Starts a new listing, because the store no longer has the changes after the revision of the watch. The
     /// local copy stays in use until the listing is complete.
     void restart_listing();
@@ -114,8 +119,17 @@
     }
 
   private:
+    /// The compressed value of an item.
+    struct compressed_value
+    {
+        revision changed;
+        std::string bytes;
+    };
+
     void finish_listing();
     void apply(const source_change& change);
+    /// The change that tells a peer the current value of an item.
+    source_change change_of(const store_item& item, bool accepts_compressed);
     void record_removal(const source_change& change);
     void remove_unlisted(const source_answer& answer);
     /// Forgets which items were removed up to a revision.
@@ -129,6 +143,8 @@
     /// Revisions at which items were removed; complete for removals after `removals_known_since_`.
     std::map<std::string, revision> removals_;
     revision removals_known_since_;
+    /// Large values that peers have asked for, by key; each is compressed once.
+    std::map<std::string, compressed_value> compressed_;
     std::string last_key_;
     revision as_of_;
     revision listing_as_of_;
--- a/libs/configuration/src/source_relay.cpp
+++ b/libs/configuration/src/source_relay.cpp
@@ -16,7 +16,7 @@
         return std::nullopt;
     }
     pull_in_progress_ = sent_pull{reader->instance, ++last_pull_number_, now};
-    return addressed_pull{*reader, {last_pull_number_, watch_.as_of(), true}};
+    return addressed_pull{*reader, {last_pull_number_, watch_.as_of(), true, true}};
 }
 
 source_relay::answer_result source_relay::handle_answer(const instance_id& from, const source_answer& answer,
@@ -34,7 +34,11 @@
         avoid(from, now);
         return answer_result::refused;
     }
-    watch_.apply_relayed(answer, sent_at);
+    if (!watch_.apply_relayed(answer, sent_at))
+    {
+        avoid(from, now);
+        return answer_result::refused;
+    }
     if (!answer.available)
     {
         avoid(from, now);
--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -1,5 +1,7 @@
 #include <parsleyshift/configuration/store_watch.hpp> // store_watch
 
+#include <parsleyshift/compression/deflate.hpp> // compress, decompress
+
 #include <algorithm> // max, min, min_element
 #include <iterator>  // next
 #include <set>       // set
@@ -106,19 +108,32 @@
     }
     for (const store_change& change : answer.changes)
     {
-        apply({change.key, change.value.value_or(std::string{}), !change.value.has_value(), change.changed});
+        apply({change.key, change.value.value_or(std::string{}), !change.value.has_value(), change.changed, false});
     }
     as_of_ = answer.at_revision;
     confirmed_ = std::max(confirmed_, call_started_at_);
 }
 
-void store_watch::apply_relayed(const source_answer& answer, time_point requested_at)
+bool store_watch::apply_relayed(const source_answer& answer, time_point requested_at)
 {
     if (answer.at_revision < as_of_)
     {
-        return;
+        return true;
     }
-    for (const source_change& change : answer.changes)
+    std::vector<source_change> changes = answer.changes;
+    for (source_change& change : changes)
+    {
+        if (change.compressed)
+        {
+            auto value = decompress(change.value, settings_.max_value_size);
+            if (value.has_error())
+            {
+                return false;
+            }
+            change.value = std::move(value).value();
+        }
+    }
+    for (const source_change& change : changes)
     {
         apply(change);
     }
@@ -130,6 +145,7 @@
     confirmed_ = std::max(confirmed_, requested_at - answer.age);
     listing_needed_ = false;
     listing_in_progress_ = false;
+    return true;
 }
 
 void store_watch::remove_unlisted(const source_answer& answer)
@@ -152,7 +168,21 @@
     forget_removals(answer.at_revision);
 }
 
-source_answer store_watch::answer_to(const source_pull& pull, time_point now) const
+source_change store_watch::change_of(const store_item& item, bool accepts_compressed)
+{
+    if (!accepts_compressed || item.value.size() < settings_.min_compressed_size)
+    {
+        return {item.key, item.value, false, item.changed, false};
+    }
+    compressed_value& value = compressed_[item.key];
+    if (value.changed != item.changed)
+    {
+        value = {item.changed, compress(item.value)};
+    }
+    return {item.key, value.bytes, false, item.changed, true};
+}
+
+source_answer store_watch::answer_to(const source_pull& pull, time_point now)
 {
     const revision after = pull.known_revision;
     source_answer answer;
@@ -170,7 +200,7 @@
     {
         if (item.changed > after)
         {
-            answer.changes.push_back({key, item.value, false, item.changed});
+            answer.changes.push_back(change_of(item, pull.accepts_compressed));
         }
         else if (answer.lists_all)
         {
@@ -181,7 +211,7 @@
     {
         if (removed_at > after && !answer.lists_all)
         {
-            answer.changes.push_back({key, {}, true, removed_at});
+            answer.changes.push_back({key, {}, true, removed_at, false});
         }
     }
     return answer;
@@ -199,6 +229,7 @@
     if (change.removed)
     {
         items_.erase(change.key);
+        compressed_.erase(change.key);
         record_removal(change);
     }
     else
--- a/libs/configuration/tests/source_relay_test.cpp
+++ b/libs/configuration/tests/source_relay_test.cpp
@@ -292,6 +292,29 @@
     CHECK(std::find(changed.begin(), changed.end(), "removed") != changed.end());
 }
 
+// Guards against large values that are sent to each follower in full, and against a damaged one that is put in force.
+TEST(source_relay, compresses_large_values_for_followers_that_accept_them)
+{
+    list_both();
+    const source_pull sent = pull();
+    const std::string large(50'000, 'x');
+    store.write("a", large);
+    read_store(reader_watch);
+    source_answer answer = *reader_relay.handle_pull(follower, sent, now);
+    CHECK(answer.changes[0].value.size() < 1'000);
+    const source_pull of_an_earlier_release{2, sent.known_revision};
+    STRCMP_EQUAL(large.c_str(),
+                 reader_relay.handle_pull(follower, of_an_earlier_release, now)->changes[0].value.c_str());
+    source_answer damaged = answer;
+    damaged.changes[0].value.resize(20);
+    CHECK(follower_relay.handle_answer(reader.instance, damaged, now) == source_relay::answer_result::refused);
+    STRCMP_EQUAL("1", follower_watch.items().at("a").value.c_str());
+    now += 2'000_ms;
+    answer.pull_number = pull().pull_number;
+    CHECK(follower_relay.handle_answer(reader.instance, answer, now) == source_relay::answer_result::accepted);
+    STRCMP_EQUAL(large.c_str(), follower_watch.items().at("a").value.c_str());
+}
+
 // Guards against answers that grow with the number of changes that a follower has missed.
 TEST(source_relay, sends_only_the_latest_change_of_each_item)
 {
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -354,6 +354,8 @@
     revision known_revision;
     /// True if the requesting instance handles answers with `lists_all`. Instances of earlier releases leave it false.
     bool accepts_listing = false;
+    /// True if the requesting instance handles compressed values. Instances of earlier releases leave it false.
+    bool accepts_compressed = false;
 
     friend bool operator==(const source_pull&, const source_pull&) = default;
 };
@@ -367,6 +369,8 @@
     bool removed = false;
     /// Revision of the change.
     revision changed;
+    /// True if `value` is in the zlib format.
+    bool compressed = false;
 
     friend bool operator==(const source_change&, const source_change&) = default;
 };
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -216,6 +216,7 @@
     1: i64 number
     2: i64 known
     3: bool accepts_listing
+    4: bool accepts_compressed
 }
 
 struct source_change
@@ -224,6 +225,7 @@
     2: string value
     3: bool removed
     4: i64 changed
+    5: bool compressed
 }
 
 struct source_answer
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -428,6 +428,7 @@
     copy(wire.number, value.pull_number);
     copy(wire.known, value.known_revision);
     copy(wire.accepts_listing, value.accepts_listing);
+    copy(wire.accepts_compressed, value.accepts_compressed);
 }
 
 void fields(auto copy, auto& wire, like<source_change> auto& value)
@@ -436,6 +437,7 @@
     copy(wire.value, value.value);
     copy(wire.removed, value.removed);
     copy(wire.changed, value.changed);
+    copy(wire.compressed, value.compressed);
 }
 
 void fields(auto copy, auto& wire, like<source_answer> auto& value)
--- a/libs/wire/tests/peer_codec_test.cpp
+++ b/libs/wire/tests/peer_codec_test.cpp
@@ -201,7 +201,7 @@
     }
     void fill(source_pull& m) const
     {
-        m = {any<std::uint64_t>(), number<revision>(), any<bool>()};
+        m = {any<std::uint64_t>(), number<revision>(), any<bool>(), any<bool>()};
     }
     void fill(source_answer& m) const
     {
@@ -211,7 +211,7 @@
              duration{any<std::int32_t>()},
              several(
                  [this] {
-                     return source_change{text(), text(), any<bool>(), number<revision>()};
+                     return source_change{text(), text(), any<bool>(), number<revision>(), any<bool>()};
                  }),
              any<bool>(),
              any<bool>(),
