Let a response of the store arrive while its bytes keep coming

A call to the store failed 0.7 s after the end of its wait, also when its response was arriving over a busy link. The part that had arrived was thrown away and the next call asked for more, which kept the link busy.

That time now bounds the start of the response. Once it has begun, the call fails after 0.7 s without a byte, or 2 s later in any case: the call has then taken 3.4 s, and a copy is used for 4.3 s, so that a longer wait would not help. The HTTP client gets a deadline for the start of a response and a limit for a pause within it, and its failures tell how much had arrived.

Tests: fails_when_no_response_begins_by_the_start_deadline and fails_when_a_response_stalls in the new http_client_test. Three more there hold the client against servers in trouble, whose bytes come without end: in a header, in a body, and as no response at all; they passed before, too.

--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -20,8 +20,11 @@
     /// the call started, so this time and the timeouts together must stay well below the time for which
     /// a caller's key is accepted after a read (the setting max_key_age).
     duration watch_wait{700};
-    /// Time beyond the wait of a call after which the call has failed.
+    /// Time beyond the wait of a call after which the call has failed if no part of the response has arrived.
     duration timeout_margin{700};
+    /// Longest time for which a response may take to arrive after that. A call that ends while bytes arrive has used
+    /// the link for nothing, and so will the next one; a response that takes longer than this is too old to be of use.
+    duration max_transfer_time{2'000};
     /// Delay after the first failed call, before jitter; doubles with each further consecutive failure.
     duration initial_retry_delay{100};
     /// Upper limit of that delay, before jitter.
@@ -49,8 +52,10 @@
     revision after;
     /// watch: longest time for which the store waits for a change.
     duration wait{};
-    /// Time after which the call counts as failed.
+    /// Time after which the call counts as failed if no part of the response has arrived.
     duration timeout{};
+    /// Time after which the call counts as failed if the response is not complete.
+    duration transfer_timeout{};
 };
 
 /// @brief Keeps a local copy of a store: lists all items once, then watches for changes, with one call at a time.
--- a/libs/configuration/tests/simulated_links.hpp
+++ b/libs/configuration/tests/simulated_links.hpp
@@ -41,6 +41,10 @@
     {
         return transfers_.erase(id) > 0;
     }
+    [[nodiscard]] bool in_progress(transfer_id id) const
+    {
+        return transfers_.contains(id);
+    }
     /// @brief Runs a function after a delay, 0 included.
     void schedule(duration delay, callback run)
     {
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -114,7 +114,7 @@
     {
         http_client_options options;
         options.connect_timeout = duration{700};
-        // A watch sends no bytes until something changes or its wait is over; response_deadline bounds it.
+        // A watch sends no bytes until something changes or its wait is over; start_deadline bounds it.
         options.silence_timeout = duration{60'000};
         options.sweep_interval = duration{250};
         options.unacknowledged_timeout = duration{1'500};
@@ -188,7 +188,9 @@
                                     is_listing ? protocol_.list_target(next_call.after_key)
                                                : protocol_.watch_target(next_call.after, next_call.wait),
                                     address_, {});
-        request.response_deadline = now + next_call.timeout;
+        request.start_deadline = now + next_call.timeout;
+        request.response_deadline = now + next_call.transfer_timeout;
+        request.stall_timeout = stall_timeout;
         request.body_limit = max_response_bytes;
         client_.start(std::move(request),
                       [this, is_listing](http_result response)
@@ -342,6 +344,8 @@
         callbacks_.feed(std::move(endpoint_list));
     }
 
+    /// Longest pause within a response of the store.
+    static constexpr duration stall_timeout{700};
     /// Maximum size of a response of the store. A page holds about 1 MB of items, or a single item of 1 MB, plus the
     /// encoding; the protocol's decoder may accept less.
     static constexpr std::size_t max_response_bytes = std::size_t{8} * 1024 * 1024;
--- a/libs/runtime/include/parsleyshift/runtime/http_client.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_client.hpp
@@ -36,6 +36,10 @@
     time_point send_deadline = never;
     /// Response deadline: the exchange fails when it has not ended by then.
     time_point response_deadline = never;
+    /// Start deadline: the exchange fails when no complete response header has been received by then.
+    time_point start_deadline = never;
+    /// Longest time without a byte from the server after the header; the client's silence timeout when empty.
+    std::optional<duration> stall_timeout;
     /// Opens a new connection instead of reusing an idle one. A server may close an idle connection while the request
     /// is being written; it would then be unknown whether the request ran.
     bool fresh_connection = false;
--- a/libs/runtime/src/http_exchange.cpp
+++ b/libs/runtime/src/http_exchange.cpp
@@ -438,11 +438,20 @@
     {
         fail(connection_failure(), "the response was not complete by the response deadline");
     }
+    else if (!head_reported_ && now > call_.start_deadline)
+    {
+        fail(connection_failure(), "the response had not begun by the start deadline");
+    }
     else if (!connecting_ && reading_enabled_ && client_.options_.may_read() &&
-             now - last_progress_ > client_.options_.silence_timeout)
+             now - last_progress_ > silence_timeout())
     {
         fail(connection_failure(), "no data received within the silence timeout");
     }
 }
 
+duration http_exchange::silence_timeout() const noexcept
+{
+    return head_reported_ && call_.stall_timeout ? *call_.stall_timeout : client_.options_.silence_timeout;
+}
+
 } // namespace parsleyshift
--- a/libs/runtime/src/http_exchange.hpp
+++ b/libs/runtime/src/http_exchange.hpp
@@ -50,7 +50,7 @@
     void set_reading(bool enabled);
     /// @brief Cancels the exchange without calling the sink.
     void cancel();
-    /// @brief Fails the exchange when its connect timeout, silence timeout or response deadline has passed.
+    /// @brief Fails the exchange when its connect timeout, silence timeout or one of its deadlines has passed.
     void check_timeouts(time_point now);
     /// @brief Handles the end of a read on the connection.
     void on_read(const boost::system::error_code& failure);
@@ -68,6 +68,7 @@
     void complete();
     void fail(attempt_failure failure, std::string message);
     void release_connection(bool keep);
+    [[nodiscard]] duration silence_timeout() const noexcept;
     /// @brief Failure kind of a broken connection: connect_failed while no byte of the request was written.
     [[nodiscard]] attempt_failure connection_failure() const noexcept;
 
--- /dev/null
+++ b/libs/runtime/tests/http_client_test.cpp
@@ -0,0 +1,138 @@
+#include <parsleyshift/test_support/property.hpp> // TEST_GROUP, CHECK
+
+#include "loopback.hpp" // scripted_server
+
+#include <parsleyshift/runtime/http_client.hpp> // http_client
+
+#include <cstddef>  // size_t
+#include <optional> // optional
+#include <string>   // string
+
+using namespace parsleyshift;
+using namespace parsleyshift::literals;
+using namespace parsleyshift::test_support;
+
+namespace
+{
+
+const std::string part_of_a_response = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + std::string(300, 'x');
+/// More than any limit below, so that only a limit can end the exchange.
+constexpr int endless_repetitions = 10'000;
+
+/// Sends one request to a server and returns the result.
+http_result response_of(const scripted_server& server, http_call call)
+{
+    asio::io_context context{1};
+    http_client_options options;
+    options.sweep_interval = 10_ms;
+    http_client client(context, options);
+    std::optional<http_result> result;
+    call.address = server.address();
+    call.text = request_text("GET", "/", call.address, {});
+    client.start(std::move(call),
+                 [&](http_result received)
+                 {
+                     result.emplace(std::move(received));
+                     context.stop();
+                 });
+    context.run_for(safety_timeout);
+    return result ? *result : http_result{http_failure{attempt_failure::link_broken, "the exchange did not end"}};
+}
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_GROUP(http_client){};
+
+// Guards against a silent server that holds an exchange for as long as a response may take to arrive.
+TEST(http_client, fails_when_no_response_begins_by_the_start_deadline)
+{
+    const scripted_server server(
+        [](scripted_server::connection& from)
+        {
+            while (from.request())
+            {
+            }
+        });
+    http_call call;
+    call.start_deadline = millisecond_clock::now() + 20_ms;
+    const http_result result = response_of(server, call);
+    CHECK(contains(result.error().message, "start deadline"));
+    LONGS_EQUAL(0, result.error().received_bytes);
+}
+
+// Guards against a response that stops midway and holds the exchange, and against a failure that does not tell how much
+// arrived.
+TEST(http_client, fails_when_a_response_stalls)
+{
+    const scripted_server server(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.send(part_of_a_response);
+            from.request();
+        });
+    http_call call;
+    call.stall_timeout = 20_ms;
+    const http_result result = response_of(server, call);
+    CHECK(contains(result.error().message, "silence timeout"));
+    LONGS_EQUAL(300, result.error().received_bytes);
+}
+
+// Guards against a server in trouble whose response header never ends.
+TEST(http_client, ends_a_header_without_end)
+{
+    const scripted_server server(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.send("HTTP/1.1 200 OK\r\n");
+            for (int each = 0; each < endless_repetitions; ++each)
+            {
+                from.send("X: " + std::string(1'000, 'x') + "\r\n");
+            }
+        });
+    const http_result result = response_of(server, {});
+    CHECK(result.error().failure == attempt_failure::endpoint_error);
+}
+
+// Guards against a server in trouble that sends bytes which are no response, without end.
+TEST(http_client, ends_bytes_that_are_no_response)
+{
+    const scripted_server server(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            for (int each = 0; each < endless_repetitions; ++each)
+            {
+                from.send(std::string(1'000, '#'));
+            }
+        });
+    const http_result result = response_of(server, {});
+    CHECK(result.error().failure == attempt_failure::endpoint_error);
+}
+
+// Guards against a server in trouble whose response body never ends.
+TEST(http_client, ends_a_body_without_end)
+{
+    const scripted_server server(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.begin_chunked();
+            for (int each = 0; each < endless_repetitions; ++each)
+            {
+                from.send_chunk(std::string(1'000, 'x'));
+            }
+        });
+    http_call call;
+    constexpr std::size_t limit = 50'000;
+    call.body_limit = limit;
+    const http_result result = response_of(server, call);
+    CHECK(result.has_error());
+    CHECK(result.error().received_bytes <= limit);
+}
