Announce answers that take long to reach a follower

With a configuration of 390 KB, 75 KB when compressed, the reader of a region of 40 instances needs 2.4 s on a link of 10 Mbit/s to send it to all. The followers waited 1.2 s, took the reader for dead, and pulled the same from the second reader and the store.

A reader whose link would be busy for more than 300 ms at 8 Mbit/s sends a short notice before each answer. A follower that gets one waits 3 s more for the answer, so that it still notices within 1.2 s when a reader does not answer at all. A reader that stops after its notice is noticed later than before, and copies may then become too old for a moment. Followers of earlier releases get no notices.

--- a/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
@@ -5,6 +5,8 @@
 #include <parsleyshift/core/ids.hpp>                  // instance_id
 #include <parsleyshift/messages/peer.hpp>             // source_pull, source_answer
 
+#include <cstddef>  // size_t
+#include <cstdint>  // uint64_t
 #include <optional> // optional
 #include <string>   // string
 #include <vector>   // vector
@@ -26,6 +28,9 @@
     source_answer answer;
 };
 
+/// @brief Bytes of the keys and values in an answer.
+std::size_t size_of(const source_answer& answer);
+
 /// @brief A pull and the reader to send it to.
 struct addressed_pull
 {
@@ -39,6 +44,12 @@
     /// Timeout of a pull. The reader answers after its next read, which takes up to store_watch_settings::watch_wait
     /// and, while the store is slow, 300 ms more.
     duration answer_timeout{1'200};
+    /// Timeout after a notice that the answer is on its way.
+    duration transfer_timeout{3'000};
+    /// Rate in bytes per millisecond that the link of a reader has at least, and the time for which it may be busy with
+    /// answers before further ones are preceded by a notice.
+    double slowest_link = 1'000;
+    duration max_busy_time{300};
     /// Time for which an instance does not pull from a reader that did not answer or could not confirm its data.
     duration avoidance_period{2'000};
 };
@@ -61,6 +72,8 @@
         /// The answer does not belong to the pull in progress.
         ignored,
         accepted,
+        /// The answer is on its way; the pull stays in progress for `transfer_timeout()`.
+        announced,
         /// The changes were applied, but the reader cannot confirm that they are the latest.
         unconfirmed,
         /// The reader has no usable data.
@@ -96,10 +109,16 @@
         return settings_.answer_timeout;
     }
 
+    /// @brief Timeout of a pull whose answer was announced, from the notice on.
+    [[nodiscard]] duration transfer_timeout() const noexcept
+    {
+        return settings_.transfer_timeout;
+    }
+
     /// @brief Handles a pull of a follower, in place of an earlier one of the same follower.
-    /// @return the answer if it can be sent at once; otherwise due() returns it after the next read
-    std::optional<source_answer> handle_pull(const source_peer& from, const source_pull& pull, time_point now);
-    /// @brief Returns the answers to all pending pulls after a read of the store.
+    /// @return the answer, after a notice if there is one, or nothing if take_pending_answers() will return it
+    std::vector<source_answer> handle_pull(const source_peer& from, const source_pull& pull, time_point now);
+    /// @brief Returns the answers to all pending pulls after a read of the store, and before them their notices.
     /// @param successful whether the store answered
     std::vector<addressed_answer> take_pending_answers(bool successful, time_point now);
 
@@ -123,6 +142,9 @@
         bool has_answered = false;
     };
 
+    /// Adds an answer to the load of this instance's link.
+    /// @return the notice to send before it, if the link is busy
+    std::optional<source_answer> notice_before(const source_answer& answer, const source_pull& pull, time_point now);
     void avoid(const instance_id& reader, bool has_answered, time_point now);
     [[nodiscard]] bool is_avoided(const source_peer& reader) const;
 
@@ -134,6 +156,8 @@
     bool skip_watch_wait_ = false;
     bool source_unavailable_ = false;
     std::vector<pending_pull> pending_pulls_;
+    /// Time until which the link of this instance would be busy with answers if it had the slowest rate.
+    time_point link_busy_until_;
 };
 
 } // namespace parsleyshift
--- a/libs/configuration/src/source_relay.cpp
+++ b/libs/configuration/src/source_relay.cpp
@@ -1,11 +1,22 @@
 #include <parsleyshift/configuration/source_relay.hpp> // source_relay
 
-#include <algorithm> // any_of, find_if
+#include <algorithm> // any_of, find_if, max, move
+#include <iterator>  // back_inserter
 #include <utility>   // exchange, move
 
 namespace parsleyshift
 {
 
+std::size_t size_of(const source_answer& answer)
+{
+    std::size_t bytes = 0;
+    for (const source_change& change : answer.changes)
+    {
+        bytes += change.key.size() + change.value.size();
+    }
+    return bytes;
+}
+
 std::optional<addressed_pull> source_relay::next_pull(const std::vector<source_peer>& readers, time_point now)
 {
     std::erase_if(avoided_, [now](const avoided_reader& each) { return each.until <= now; });
@@ -16,7 +27,7 @@
         return std::nullopt;
     }
     pull_in_progress_ = sent_pull{reader->instance, ++last_pull_number_, now};
-    return addressed_pull{*reader, {last_pull_number_, watch_.as_of(), true, true}};
+    return addressed_pull{*reader, {last_pull_number_, watch_.as_of(), true, true, true}};
 }
 
 source_relay::answer_result source_relay::handle_answer(const instance_id& from, const source_answer& answer,
@@ -26,6 +37,10 @@
     {
         return answer_result::ignored;
     }
+    if (answer.follows)
+    {
+        return answer_result::announced;
+    }
     const time_point sent_at = pull_in_progress_->sent_at;
     pull_in_progress_.reset();
     const bool complete = answer.available || answer.complete;
@@ -89,7 +104,7 @@
     }
 }
 
-std::optional<source_answer> source_relay::handle_pull(const source_peer& from, const source_pull& pull, time_point now)
+std::vector<source_answer> source_relay::handle_pull(const source_peer& from, const source_pull& pull, time_point now)
 {
     std::erase_if(pending_pulls_,
                   [&from](const pending_pull& pending) { return pending.from.instance == from.instance; });
@@ -98,23 +113,51 @@
     if (answer_after_next_read)
     {
         pending_pulls_.push_back({from, pull});
-        return std::nullopt;
+        return {};
     }
     source_answer answer = watch_.answer_to(pull, now);
     answer.available = answer.available && !source_unavailable_;
-    return answer;
+    std::vector<source_answer> answers;
+    if (auto notice = notice_before(answer, pull, now))
+    {
+        answers.push_back(std::move(*notice));
+    }
+    answers.push_back(std::move(answer));
+    return answers;
+}
+
+std::optional<source_answer> source_relay::notice_before(const source_answer& answer, const source_pull& pull,
+                                                         time_point now)
+{
+    const double bytes = static_cast<double>(size_of(answer));
+    link_busy_until_ =
+        std::max(link_busy_until_, now) + duration{static_cast<duration::rep>(bytes / settings_.slowest_link)};
+    if (!pull.accepts_notice || link_busy_until_ - now <= settings_.max_busy_time)
+    {
+        return std::nullopt;
+    }
+    source_answer notice;
+    notice.pull_number = pull.pull_number;
+    notice.follows = true;
+    return notice;
 }
 
 std::vector<addressed_answer> source_relay::take_pending_answers(bool successful, time_point now)
 {
+    std::vector<addressed_answer> notices;
     std::vector<addressed_answer> answers;
     for (pending_pull& pending : std::exchange(pending_pulls_, {}))
     {
         source_answer answer = watch_.answer_to(pending.pull, now);
         answer.available = answer.available && successful;
+        if (auto notice = notice_before(answer, pending.pull, now))
+        {
+            notices.push_back({pending.from, std::move(*notice)});
+        }
         answers.push_back({std::move(pending.from), std::move(answer)});
     }
-    return answers;
+    std::move(answers.begin(), answers.end(), std::back_inserter(notices));
+    return notices;
 }
 
 } // namespace parsleyshift
--- a/libs/configuration/tests/simulated_region.hpp
+++ b/libs/configuration/tests/simulated_region.hpp
@@ -119,6 +119,8 @@
         bool frozen = false;
         /// Number of the call to the store in progress.
         std::uint64_t call_number = 0;
+        /// Number of the timer of the pull in progress; earlier ones have no effect.
+        std::uint64_t pull_timer = 0;
         store_call call;
         bool watch_pending = false;
         simulated_links::transfer_id transfer = 0;
@@ -157,45 +159,51 @@
             node& reader = *nodes_[std::stoul(next->to.address)];
             links_.schedule(shape_.peer_delay,
                             [this, &each, &reader, pull = next->pull] { handle_pull(reader, each, pull); });
-            links_.schedule(each.relay.answer_timeout(),
-                            [this, &each, number = next->pull.pull_number]
-                            {
-                                if (!each.frozen && each.relay.handle_timeout(number, links_.now()))
-                                {
-                                    request_next(each);
-                                }
-                            });
+            schedule_pull_timeout(each, next->pull.pull_number, each.relay.answer_timeout());
             return;
         }
         call_store(each);
     }
+    void schedule_pull_timeout(node& each, std::uint64_t number, duration timeout)
+    {
+        const std::uint64_t timer = ++each.pull_timer;
+        links_.schedule(timeout,
+                        [this, &each, number, timer]
+                        {
+                            if (!each.frozen && each.pull_timer == timer &&
+                                each.relay.handle_timeout(number, links_.now()))
+                            {
+                                request_next(each);
+                            }
+                        });
+    }
     void handle_pull(node& reader, node& from, const source_pull& pull)
     {
         if (reader.frozen)
         {
             return;
         }
-        if (auto answer =
-                reader.relay.handle_pull({instance_id{from.name}, std::to_string(from.index)}, pull, links_.now()))
+        for (source_answer& answer :
+             reader.relay.handle_pull({instance_id{from.name}, std::to_string(from.index)}, pull, links_.now()))
         {
-            send_answer(reader, from, std::move(*answer));
+            send_answer(reader, from, std::move(answer));
         }
     }
     void send_answer(node& reader, node& to, source_answer answer)
     {
-        std::size_t bytes = 100;
-        for (const source_change& change : answer.changes)
-        {
-            bytes += change.key.size() + change.value.size();
-        }
-        links_.send({reader.uplink, to.downlink}, bytes,
+        constexpr std::size_t frame_bytes = 100;
+        links_.send({reader.uplink, to.downlink}, frame_bytes + size_of(answer),
                     [this, &reader, &to, answer = std::move(answer)]
                     {
                         using enum source_relay::answer_result;
                         const auto result =
                             to.frozen ? ignored
                                       : to.relay.handle_answer(instance_id{reader.name}, answer, links_.now());
-                        if (result == ignored)
+                        if (result == announced)
+                        {
+                            schedule_pull_timeout(to, answer.pull_number, to.relay.transfer_timeout());
+                        }
+                        if (result == ignored || result == announced)
                         {
                             return;
                         }
--- a/libs/configuration/tests/source_relay_test.cpp
+++ b/libs/configuration/tests/source_relay_test.cpp
@@ -101,6 +101,13 @@
         read_store(reader_watch);
         read_store(follower_watch);
     }
+    /// The answer that a reader sends at once.
+    source_answer answer_to(source_relay & relay, const source_pull& sent) const
+    {
+        const auto answers = relay.handle_pull(follower, sent, now);
+        LONGS_EQUAL(1, answers.size());
+        return answers.front();
+    }
     source_pull pull()
     {
         return follower_relay.next_pull({reader}, now)->pull;
@@ -115,7 +122,7 @@
     now += 1'000_ms;
     const time_point sent_at = now;
     const source_pull sent = pull();
-    CHECK_FALSE(reader_relay.handle_pull(follower, sent, now).has_value());
+    CHECK(reader_relay.handle_pull(follower, sent, now).empty());
     now += 100_ms;
     read_store(reader_watch, 300_ms);
     const auto answers = reader_relay.take_pending_answers(true, now);
@@ -135,9 +142,8 @@
     const source_pull sent = pull();
     store.write("a", "2");
     read_store(reader_watch);
-    const auto answer = reader_relay.handle_pull(follower, sent, now);
-    CHECK_TRUE(answer.has_value());
-    CHECK(follower_relay.handle_answer(reader.instance, *answer, now) == source_relay::answer_result::accepted);
+    const auto answer = answer_to(reader_relay, sent);
+    CHECK(follower_relay.handle_answer(reader.instance, answer, now) == source_relay::answer_result::accepted);
     STRCMP_EQUAL("2", follower_watch.items().at("a").value.c_str());
 }
 
@@ -158,9 +164,9 @@
     now += 2'000_ms;
     const source_pull second = pull();
     reader_relay.record_direct_read(false);
-    const auto refusal = reader_relay.handle_pull(follower, second, now);
-    CHECK_FALSE(refusal->available);
-    CHECK(follower_relay.handle_answer(reader.instance, *refusal, now) == source_relay::answer_result::unconfirmed);
+    const auto refusal = answer_to(reader_relay, second);
+    CHECK_FALSE(refusal.available);
+    CHECK(follower_relay.handle_answer(reader.instance, refusal, now) == source_relay::answer_result::unconfirmed);
     CHECK_FALSE(follower_relay.next_pull({reader}, now).has_value());
     CHECK_TRUE(follower_relay.skip_watch_wait());
 }
@@ -196,9 +202,9 @@
     read_store(reader_watch);
     now += 3'000_ms;
     reader_relay.record_direct_read(false);
-    const auto answer = reader_relay.handle_pull(follower, sent, now);
-    CHECK_FALSE(answer->available);
-    CHECK(follower_relay.handle_answer(reader.instance, *answer, now) == source_relay::answer_result::unconfirmed);
+    const auto answer = answer_to(reader_relay, sent);
+    CHECK_FALSE(answer.available);
+    CHECK(follower_relay.handle_answer(reader.instance, answer, now) == source_relay::answer_result::unconfirmed);
     STRCMP_EQUAL("2", follower_watch.items().at("a").value.c_str());
     CHECK(follower_watch.as_of() == reader_watch.as_of());
     // The copy is not taken for newer than the reader's last successful read.
@@ -237,7 +243,7 @@
 TEST(source_relay, refuses_pending_pulls_when_the_store_fails)
 {
     list_both();
-    CHECK_FALSE(reader_relay.handle_pull(follower, pull(), now).has_value());
+    CHECK(reader_relay.handle_pull(follower, pull(), now).empty());
     const auto answers = reader_relay.take_pending_answers(false, now);
     LONGS_EQUAL(1, answers.size());
     CHECK_FALSE(answers[0].answer.available);
@@ -252,7 +258,7 @@
     const source_pull sent = pull();
     store.write("a", "2");
     read_store(reader_watch);
-    source_answer answer = *reader_relay.handle_pull(follower, sent, now);
+    source_answer answer = answer_to(reader_relay, sent);
     CHECK(follower_relay.handle_answer(instance_id{"other"}, answer, now) == source_relay::answer_result::ignored);
     --answer.pull_number;
     CHECK(follower_relay.handle_answer(reader.instance, answer, now) == source_relay::answer_result::ignored);
@@ -271,9 +277,9 @@
     store.write("a", "2");
     reader_watch.restart_listing();
     read_store(reader_watch);
-    const auto refusal = reader_relay.handle_pull(follower, without_listing, now);
-    CHECK_FALSE(refusal->available);
-    CHECK_FALSE(refusal->complete);
+    const auto refusal = answer_to(reader_relay, without_listing);
+    CHECK_FALSE(refusal.available);
+    CHECK_FALSE(refusal.complete);
     store_watch_settings small;
     // One of the two removals below.
     small.max_removals = 1;
@@ -284,8 +290,8 @@
     store.write("b", std::nullopt);
     store.write("c", std::nullopt);
     read_store(short_memory_watch);
-    CHECK_FALSE(relay.handle_pull(follower, {1, known}, now)->available);
-    CHECK_TRUE(relay.handle_pull(follower, {1, known, true}, now)->available);
+    CHECK_FALSE(answer_to(relay, {1, known}).available);
+    CHECK_TRUE(answer_to(relay, {1, known, true}).available);
 }
 
 // Guards against an item that stays at a follower for good: it was removed before the listing of the reader, which does
@@ -299,11 +305,11 @@
     store.write("b", "1");
     reader_watch.restart_listing();
     read_store(reader_watch);
-    const auto answer = reader_relay.handle_pull(follower, sent, now);
-    CHECK_TRUE(answer->lists_all);
+    const auto answer = answer_to(reader_relay, sent);
+    CHECK_TRUE(answer.lists_all);
     // Only the value of the new item is sent.
-    LONGS_EQUAL(1, answer->changes.size());
-    CHECK(follower_relay.handle_answer(reader.instance, *answer, now) == source_relay::answer_result::accepted);
+    LONGS_EQUAL(1, answer.changes.size());
+    CHECK(follower_relay.handle_answer(reader.instance, answer, now) == source_relay::answer_result::accepted);
     CHECK(follower_watch.items() == store.items());
     const auto changed = follower_watch.take_changed();
     CHECK(std::find(changed.begin(), changed.end(), "removed") != changed.end());
@@ -317,11 +323,10 @@
     const std::string large(50'000, 'x');
     store.write("a", large);
     read_store(reader_watch);
-    source_answer answer = *reader_relay.handle_pull(follower, sent, now);
+    source_answer answer = answer_to(reader_relay, sent);
     CHECK(answer.changes[0].value.size() < 1'000);
     const source_pull of_an_earlier_release{2, sent.known_revision};
-    STRCMP_EQUAL(large.c_str(),
-                 reader_relay.handle_pull(follower, of_an_earlier_release, now)->changes[0].value.c_str());
+    STRCMP_EQUAL(large.c_str(), answer_to(reader_relay, of_an_earlier_release).changes[0].value.c_str());
     source_answer damaged = answer;
     damaged.changes[0].value.resize(20);
     CHECK(follower_relay.handle_answer(reader.instance, damaged, now) == source_relay::answer_result::refused);
@@ -332,6 +337,34 @@
     STRCMP_EQUAL(large.c_str(), follower_watch.items().at("a").value.c_str());
 }
 
+// Guards against followers that take a reader for dead while its answer is on the way over a slow link.
+TEST(source_relay, announces_answers_that_take_long)
+{
+    list_both();
+    source_relay_settings settings;
+    // 100 bytes take 300 ms.
+    settings.slowest_link = 1.0 / 3.0;
+    source_relay busy_relay{reader_watch, settings};
+    store.write("a", std::string(100, 'x'));
+    read_store(reader_watch);
+    const source_pull sent = pull();
+    const source_peer first{instance_id{"first"}, "10.0.0.4:1"};
+    // One byte of the key makes it longer than 300 ms.
+    const auto answers = busy_relay.handle_pull(first, sent, now);
+    LONGS_EQUAL(2, answers.size());
+    CHECK_TRUE(answers[0].follows);
+    CHECK_FALSE(answers[1].follows);
+    CHECK(follower_relay.handle_answer(reader.instance, answers[0], now) == source_relay::answer_result::announced);
+    // The pull is still in progress.
+    CHECK(follower_relay.handle_answer(reader.instance, answers[1], now) == source_relay::answer_result::accepted);
+    // A follower of an earlier release would take a notice for a refusal.
+    LONGS_EQUAL(1, busy_relay.handle_pull(first, {1, sent.known_revision}, now).size());
+    // When the link is idle again, a small answer needs no notice.
+    now += 5'000_ms;
+    busy_relay.record_direct_read(false);
+    LONGS_EQUAL(1, busy_relay.handle_pull(first, {2, reader_watch.as_of(), true, true, true}, now).size());
+}
+
 // Guards against answers that grow with the number of changes that a follower has missed.
 TEST(source_relay, sends_only_the_latest_change_of_each_item)
 {
@@ -343,9 +376,9 @@
         store.write("b", version % 2 == 0 ? std::optional{"1"} : std::nullopt);
     }
     read_store(reader_watch);
-    const auto answer = reader_relay.handle_pull(follower, sent, now);
-    LONGS_EQUAL(2, answer->changes.size());
-    CHECK(follower_relay.handle_answer(reader.instance, *answer, now) == source_relay::answer_result::accepted);
+    const auto answer = answer_to(reader_relay, sent);
+    LONGS_EQUAL(2, answer.changes.size());
+    CHECK(follower_relay.handle_answer(reader.instance, answer, now) == source_relay::answer_result::accepted);
     CHECK(follower_watch.items() == store.items());
 }
 
@@ -366,10 +399,10 @@
     paged.next(now);
     paged.handle(std::move(second));
     read_store(paged);
-    const auto answer = relay.handle_pull(follower, {1, follower_watch.as_of()}, now);
-    CHECK_TRUE(answer->available);
-    LONGS_EQUAL(1, answer->changes.size());
-    CHECK(answer->changes[0].changed == revision{12});
+    const auto answer = answer_to(relay, {1, follower_watch.as_of()});
+    CHECK_TRUE(answer.available);
+    LONGS_EQUAL(1, answer.changes.size());
+    CHECK(answer.changes[0].changed == revision{12});
 }
 
 TEST_GROUP(source_relay_schedules){};
@@ -433,7 +466,7 @@
                     if (const auto next = follower_relay.next_pull({reader}, now))
                     {
                         sent = next->pull;
-                        if (auto answer = reader_relay.handle_pull(follower, *sent, now))
+                        for (source_answer& answer : reader_relay.handle_pull(follower, *sent, now))
                         {
                             answer_in_flight = std::move(answer);
                         }
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -85,9 +85,9 @@
         {
             return;
         }
-        if (auto answer = relay_.handle_pull(from, pull, millisecond_clock::now()))
+        for (source_answer& answer : relay_.handle_pull(from, pull, millisecond_clock::now()))
         {
-            send_answer(from, std::move(*answer));
+            send_answer(from, std::move(answer));
         }
     }
     /// @brief Handles a peer's answer to a pull of this instance.
@@ -99,6 +99,11 @@
             return;
         }
         pull_timer_.cancel();
+        if (reception == source_relay::answer_result::announced)
+        {
+            schedule_pull_timeout(answer.pull_number, relay_.transfer_timeout());
+            return;
+        }
         const bool confirmed = reception == source_relay::answer_result::accepted;
         report_read(confirmed ? store_read_result::complete : store_read_result::refused, size_of(answer),
                     confirmed ? "" : "the peer cannot confirm its items");
@@ -121,16 +126,6 @@
         options.batch_done = std::move(batch_done);
         return options;
     }
-    /// Bytes of the keys and values in an answer.
-    static std::size_t size_of(const source_answer& answer)
-    {
-        std::size_t bytes = 0;
-        for (const source_change& change : answer.changes)
-        {
-            bytes += change.key.size() + change.value.size();
-        }
-        return bytes;
-    }
     void send_answer(const source_peer& to, source_answer answer)
     {
         callbacks_.on_relayed(size_of(answer));
@@ -157,14 +152,14 @@
         {
             begin_read(store_read_source::peer, "pull from " + next->to.instance.value());
             callbacks_.send(next->to, next->pull);
-            schedule_pull_timeout(next->pull.pull_number);
+            schedule_pull_timeout(next->pull.pull_number, relay_.answer_timeout());
             return;
         }
         request_from_store();
     }
-    void schedule_pull_timeout(std::uint64_t number)
+    void schedule_pull_timeout(std::uint64_t number, duration timeout)
     {
-        pull_timer_.expires_after(relay_.answer_timeout());
+        pull_timer_.expires_after(timeout);
         pull_timer_.async_wait(
             [this, number](const boost::system::error_code& failure)
             {
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -356,6 +356,8 @@
     bool accepts_listing = false;
     /// True if the requesting instance handles compressed values. Instances of earlier releases leave it false.
     bool accepts_compressed = false;
+    /// True if the requesting instance handles answers with `follows`. Instances of earlier releases leave it false.
+    bool accepts_notice = false;
 
     friend bool operator==(const source_pull&, const source_pull&) = default;
 };
@@ -394,6 +396,8 @@
     bool lists_all = false;
     /// With lists_all: keys of the items that have not changed since the revision of the pull.
     std::vector<std::string> unchanged_keys;
+    /// True for a notice without changes: the answer was sent behind it and may take long to arrive.
+    bool follows = false;
 
     friend bool operator==(const source_answer&, const source_answer&) = default;
 };
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -217,6 +217,7 @@
     2: i64 known
     3: bool accepts_listing
     4: bool accepts_compressed
+    5: bool accepts_notice
 }
 
 struct source_change
@@ -238,6 +239,7 @@
     6: bool complete
     7: bool lists_all
     8: list<string> unchanged_keys
+    9: bool follows
 }
 
 union message
--- a/libs/wire/tests/peer_codec_test.cpp
+++ b/libs/wire/tests/peer_codec_test.cpp
@@ -201,7 +201,7 @@
     }
     void fill(source_pull& m) const
     {
-        m = {any<std::uint64_t>(), number<revision>(), any<bool>(), any<bool>()};
+        m = {any<std::uint64_t>(), number<revision>(), any<bool>(), any<bool>(), any<bool>()};
     }
     void fill(source_answer& m) const
     {
@@ -215,7 +215,8 @@
                  }),
              any<bool>(),
              any<bool>(),
-             several([this] { return text(); })};
+             several([this] { return text(); }),
+             any<bool>()};
     }
     template <std::size_t Index>
     peer_envelope envelope() const
