Follow other readers while the store refuses the first ones

When the store came back from an outage, 40 instances made 2,016 calls in 2 s, since each of them avoided its readers for that long.

One that refuses is avoided for 0.5 s only, one that is silent for 2 s as before, and after two silent ones the store is read, so that the time to the first read stays the same. An instance whose own reads fail also follows readers of a lower rank until its next attempt; it answers pulls at once and without confirming its copy meanwhile, since the reader that it follows may be waiting for it, and it does not report the source as lost. After a failed read the peers are asked at once, and only the store after the delay.

--- a/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
@@ -21,6 +21,16 @@
     std::string address;
 };
 
+/// @brief The readers that an instance may follow, in order of preference.
+struct source_readers
+{
+    /// Readers that rank higher than the instance. An instance follows only these as long as its own reads succeed, so
+    /// that two never wait for each other.
+    std::vector<source_peer> preferred;
+    /// Readers that rank lower, for an instance that cannot read the store itself.
+    std::vector<source_peer> others;
+};
+
 /// @brief An answer and the follower to send it to.
 struct addressed_answer
 {
@@ -50,8 +60,14 @@
     /// answers before further ones are preceded by a notice.
     double slowest_link = 1'000;
     duration max_busy_time{300};
-    /// Time for which an instance does not pull from a reader that did not answer or could not confirm its data.
-    duration avoidance_period{2'000};
+    /// Time for which an instance does not pull from a reader that did not answer.
+    duration silence_avoidance{2'000};
+    /// Time for which it does not pull from a reader that could not confirm its data. Asking again costs little, and
+    /// the store may answer the reader again.
+    duration refusal_avoidance{500};
+    /// Number of readers that may be silent before the store is read; each costs `answer_timeout`, and the copy must
+    /// not get too old meanwhile.
+    std::size_t max_silent_readers = 2;
 };
 
 /// @brief Lets most instances follow a peer that reads the store, since every call to the store is billed.
@@ -86,19 +102,37 @@
     }
 
     /// @brief Starts a pull.
-    /// @param readers the readers that this instance may follow, the preferred one first
     /// @return the pull to send and its receiver, or nothing when the caller reads the store itself
-    std::optional<addressed_pull> next_pull(const std::vector<source_peer>& readers, time_point now);
+    std::optional<addressed_pull> next_pull(const source_readers& readers, time_point now);
     /// @brief Handles an answer of a reader.
     answer_result handle_answer(const instance_id& from, const source_answer& answer, time_point now);
     /// @brief Handles a pull that was not answered within `answer_timeout()`; the next reader or direct reads follow.
     /// @return false when the pull is no longer in progress
     bool handle_timeout(std::uint64_t number, time_point now);
-    /// @brief Records a direct read of the store. After a failed one, the readers that had answered are no longer
-    /// avoided, or none is if there was no such reader.
-    void record_direct_read(bool successful);
+    /// @brief Records a successful read of the store.
+    void record_read();
+    /// @brief Records a failed read of the store. The readers that had answered are no longer avoided, or none is if
+    /// there was no such reader.
+    /// @param retry_at earliest time for the next read
+    void record_failed_read(time_point retry_at);
+    /// @brief Earliest time at which the caller may read the store when next_pull() returns nothing; meanwhile it calls
+    /// next_pull() at intervals of `retry_interval()`.
+    [[nodiscard]] time_point next_direct_read() const noexcept
+    {
+        return next_direct_read_;
+    }
+    [[nodiscard]] duration retry_interval() const noexcept
+    {
+        return settings_.refusal_avoidance;
+    }
+    /// @brief True while a reader of a lower rank confirms the copy of this instance, which cannot read the store
+    /// itself.
+    [[nodiscard]] bool follows_lower_rank() const noexcept
+    {
+        return follows_lower_rank_;
+    }
     /// @brief True when the next watch of the store should return at once, because a pull has failed and neither
-    /// a direct read nor an accepted answer has followed it.
+    /// a direct read nor an accepted answer has followed it, or to learn whether the store answers again.
     [[nodiscard]] bool skip_watch_wait() const noexcept
     {
         return skip_watch_wait_;
@@ -133,6 +167,8 @@
         instance_id to;
         std::uint64_t number = 0;
         time_point sent_at;
+        /// The receiver ranks lower than this instance.
+        bool to_lower_rank = false;
     };
 
     struct avoided_reader
@@ -146,7 +182,9 @@
     /// @return the notice to send before it, if the link is busy
     std::optional<source_answer> notice_before(const source_answer& answer, const source_pull& pull, time_point now);
     void avoid(const instance_id& reader, bool has_answered, time_point now);
-    [[nodiscard]] bool is_avoided(const source_peer& reader) const;
+    /// The first reader that is not avoided; null if there is none.
+    [[nodiscard]] const source_peer* first_usable(const std::vector<source_peer>& readers) const;
+    [[nodiscard]] std::size_t silent_readers() const;
 
     store_watch& watch_;
     source_relay_settings settings_;
@@ -154,7 +192,10 @@
     std::uint64_t last_pull_number_ = 0;
     std::vector<avoided_reader> avoided_;
     bool skip_watch_wait_ = false;
+    /// The last read of the store failed, and no reader of a higher rank has confirmed the copy since.
     bool source_unavailable_ = false;
+    time_point next_direct_read_;
+    bool follows_lower_rank_ = false;
     std::vector<pending_pull> pending_pulls_;
     /// Time until which the link of this instance would be busy with answers if it had the slowest rate.
     time_point link_busy_until_;
--- a/libs/configuration/src/source_relay.cpp
+++ b/libs/configuration/src/source_relay.cpp
@@ -1,6 +1,6 @@
 #include <parsleyshift/configuration/source_relay.hpp> // source_relay
 
-#include <algorithm> // any_of, find_if, max, move
+#include <algorithm> // count_if, find_if, max, move, none_of
 #include <iterator>  // back_inserter
 #include <utility>   // exchange, move
 
@@ -17,16 +17,24 @@
     return bytes;
 }
 
-std::optional<addressed_pull> source_relay::next_pull(const std::vector<source_peer>& readers, time_point now)
+std::optional<addressed_pull> source_relay::next_pull(const source_readers& readers, time_point now)
 {
     std::erase_if(avoided_, [now](const avoided_reader& each) { return each.until <= now; });
-    const auto reader =
-        std::find_if(readers.begin(), readers.end(), [this](const source_peer& each) { return !is_avoided(each); });
-    if (reader == readers.end() || !watch_.listed())
+    if (!watch_.listed() || silent_readers() >= settings_.max_silent_readers)
     {
         return std::nullopt;
     }
-    pull_in_progress_ = sent_pull{reader->instance, ++last_pull_number_, now};
+    const source_peer* reader = first_usable(readers.preferred);
+    const bool to_lower_rank = reader == nullptr && source_unavailable_ && now < next_direct_read_;
+    if (to_lower_rank)
+    {
+        reader = first_usable(readers.others);
+    }
+    if (reader == nullptr)
+    {
+        return std::nullopt;
+    }
+    pull_in_progress_ = sent_pull{reader->instance, ++last_pull_number_, now, to_lower_rank};
     return addressed_pull{*reader, {last_pull_number_, watch_.as_of(), true, true, true}};
 }
 
@@ -42,6 +50,7 @@
         return answer_result::announced;
     }
     const time_point sent_at = pull_in_progress_->sent_at;
+    const bool from_lower_rank = pull_in_progress_->to_lower_rank;
     pull_in_progress_.reset();
     const bool complete = answer.available || answer.complete;
     if (!complete || answer.at_revision < watch_.as_of() || answer.age < duration{})
@@ -59,8 +68,11 @@
         avoid(from, true, now);
         return answer_result::unconfirmed;
     }
-    skip_watch_wait_ = false;
-    source_unavailable_ = false;
+    // An instance that follows a lower rank answers pulls at once without confirming its copy: the reader that it
+    // follows may itself be waiting for it.
+    source_unavailable_ = from_lower_rank;
+    follows_lower_rank_ = from_lower_rank;
+    skip_watch_wait_ = from_lower_rank;
     return answer_result::accepted;
 }
 
@@ -77,30 +89,46 @@
 
 void source_relay::avoid(const instance_id& reader, bool has_answered, time_point now)
 {
-    avoided_.push_back({reader, now + settings_.avoidance_period, has_answered});
+    follows_lower_rank_ = false;
+    const duration period = has_answered ? settings_.refusal_avoidance : settings_.silence_avoidance;
+    avoided_.push_back({reader, now + period, has_answered});
     skip_watch_wait_ = true;
 }
 
-bool source_relay::is_avoided(const source_peer& reader) const
+const source_peer* source_relay::first_usable(const std::vector<source_peer>& readers) const
+{
+    const auto found = std::find_if(readers.begin(), readers.end(),
+                                    [this](const source_peer& reader)
+                                    {
+                                        return std::none_of(avoided_.begin(), avoided_.end(),
+                                                            [&reader](const avoided_reader& each)
+                                                            { return each.instance == reader.instance; });
+                                    });
+    return found == readers.end() ? nullptr : &*found;
+}
+
+std::size_t source_relay::silent_readers() const
 {
-    return std::any_of(avoided_.begin(), avoided_.end(),
-                       [&reader](const avoided_reader& each) { return each.instance == reader.instance; });
+    return static_cast<std::size_t>(
+        std::count_if(avoided_.begin(), avoided_.end(), [](const avoided_reader& each) { return !each.has_answered; }));
 }
 
-void source_relay::record_direct_read(bool successful)
+void source_relay::record_read()
 {
     skip_watch_wait_ = false;
-    source_unavailable_ = !successful;
-    if (!successful)
+    source_unavailable_ = false;
+    follows_lower_rank_ = false;
+    next_direct_read_ = time_point{};
+}
+
+void source_relay::record_failed_read(time_point retry_at)
+{
+    skip_watch_wait_ = false;
+    source_unavailable_ = true;
+    next_direct_read_ = retry_at;
+    if (std::erase_if(avoided_, [](const avoided_reader& each) { return each.has_answered; }) == 0)
     {
-        const auto answered = [](const avoided_reader& each)
-        {
-            return each.has_answered;
-        };
-        if (std::erase_if(avoided_, answered) == 0)
-        {
-            avoided_.clear();
-        }
+        avoided_.clear();
     }
 }
 
--- a/libs/configuration/tests/configuration_spread_test.cpp
+++ b/libs/configuration/tests/configuration_spread_test.cpp
@@ -163,3 +163,15 @@
     run(region, 20'000_ms);
     CHECK(longest_age < freshness_lease);
 }
+
+// Guards against a region whose instances all read the store because it refuses the calls of both readers.
+TEST(configuration_spread, changes_are_in_force_in_time_when_the_store_refuses_the_readers)
+{
+    simulated_region region{links, {}};
+    settle(region);
+    region.set_refused(0, true);
+    region.set_refused(1, true);
+    write_series(region, 80, large_configuration);
+    run(region, 10'000_ms);
+    CHECK(longest_age < freshness_lease);
+}
--- a/libs/configuration/tests/simulated_region.hpp
+++ b/libs/configuration/tests/simulated_region.hpp
@@ -74,6 +74,11 @@
     {
         store_silent_ = silent;
     }
+    /// @brief Sets whether the store refuses the calls of an instance at once.
+    void set_refused(std::size_t index, bool refused)
+    {
+        nodes_[index]->refused = refused;
+    }
     /// @brief Stops an instance from answering and reading, as if its process had been suspended.
     void freeze(std::size_t index)
     {
@@ -117,6 +122,7 @@
         std::size_t uplink = 0;
         std::size_t downlink = 0;
         bool frozen = false;
+        bool refused = false;
         /// Number of the call to the store in progress.
         std::uint64_t call_number = 0;
         /// Number of the timer of the pull in progress; earlier ones have no effect.
@@ -138,13 +144,21 @@
         return bytes * 4 / 3 + 200;
     }
 
-    /// The readers of the region are the first two instances; each follows only those before it.
-    std::vector<source_peer> readers_for(const node& each) const
+    /// The readers of the region are the first four instances.
+    source_readers readers_for(const node& each) const
     {
-        std::vector<source_peer> readers;
-        for (std::size_t index = 0; index < std::min<std::size_t>(each.index, 2); ++index)
+        source_readers readers;
+        for (std::size_t index = 0; index < 4; ++index)
         {
-            readers.push_back({instance_id{nodes_[index]->name}, std::to_string(index)});
+            const source_peer reader{instance_id{nodes_[index]->name}, std::to_string(index)};
+            if (index < each.index)
+            {
+                readers.preferred.push_back(reader);
+            }
+            else if (index > each.index)
+            {
+                readers.others.push_back(reader);
+            }
         }
         return readers;
     }
@@ -162,6 +176,12 @@
             schedule_pull_timeout(each, next->pull.pull_number, each.relay.answer_timeout());
             return;
         }
+        const duration delay = each.relay.next_direct_read() - links_.now();
+        if (delay > duration{})
+        {
+            links_.schedule(std::min(delay, each.relay.retry_interval()), [this, &each] { request_next(each); });
+            return;
+        }
         call_store(each);
     }
     void schedule_pull_timeout(node& each, std::uint64_t number, duration timeout)
@@ -238,10 +258,16 @@
         links_.schedule(shape_.store_delay,
                         [this, &each, number]
                         {
-                            if (!store_silent_ && each.call_number == number)
+                            if (store_silent_ || each.call_number != number)
+                            {
+                                return;
+                            }
+                            if (each.refused)
                             {
-                                arrive_at_store(each, number);
+                                links_.schedule(shape_.store_delay, [this, &each, number] { fail_call(each, number); });
+                                return;
                             }
+                            arrive_at_store(each, number);
                         });
     }
     void fail_call(node& each, std::uint64_t number)
@@ -253,9 +279,9 @@
         ++each.call_number;
         each.watch_pending = false;
         const bool response_started = links_.cancel(each.transfer);
-        each.relay.record_direct_read(false);
+        each.relay.record_failed_read(links_.now() + each.watch.record_failure(response_started));
         answer_pending_pulls(each, false);
-        links_.schedule(each.watch.record_failure(response_started), [this, &each] { request_next(each); });
+        request_next(each);
     }
     void arrive_at_store(node& each, std::uint64_t number)
     {
@@ -327,7 +353,7 @@
             }
             ++each.call_number;
             apply();
-            each.relay.record_direct_read(true);
+            each.relay.record_read();
             answer_pending_pulls(each, true);
             request_next(each);
         };
--- a/libs/configuration/tests/source_relay_test.cpp
+++ b/libs/configuration/tests/source_relay_test.cpp
@@ -19,6 +19,7 @@
 constexpr time_point start = at_ms(1'000'000);
 const source_peer reader{instance_id{"reader"}, "10.0.0.1:1"};
 const source_peer second_reader{instance_id{"second"}, "10.0.0.3:1"};
+const source_readers only_reader{{reader}, {}};
 const source_peer follower{instance_id{"follower"}, "10.0.0.2:1"};
 
 /// A store that increments its revision with each write and keeps the full history for watches.
@@ -110,7 +111,7 @@
     }
     source_pull pull()
     {
-        return follower_relay.next_pull({reader}, now)->pull;
+        return follower_relay.next_pull(only_reader, now)->pull;
     }
 };
 
@@ -155,19 +156,19 @@
     const source_pull first = pull();
     CHECK_TRUE(follower_relay.handle_timeout(first.pull_number, now));
     CHECK_FALSE(follower_relay.handle_timeout(first.pull_number, now));
-    // 1 ms before the end of the default avoidance_period.
-    CHECK_FALSE(follower_relay.next_pull({reader}, now + 1'999_ms).has_value());
+    // 1 ms before the end of the default silence_avoidance.
+    CHECK_FALSE(follower_relay.next_pull(only_reader, now + 1'999_ms).has_value());
     CHECK_TRUE(follower_relay.skip_watch_wait());
     LONGS_EQUAL(0, follower_watch.next(now, follower_relay.skip_watch_wait()).wait.count());
-    follower_relay.record_direct_read(true);
+    follower_relay.record_read();
     CHECK_FALSE(follower_relay.skip_watch_wait());
     now += 2'000_ms;
     const source_pull second = pull();
-    reader_relay.record_direct_read(false);
+    reader_relay.record_failed_read(now);
     const auto refusal = answer_to(reader_relay, second);
     CHECK_FALSE(refusal.available);
     CHECK(follower_relay.handle_answer(reader.instance, refusal, now) == source_relay::answer_result::unconfirmed);
-    CHECK_FALSE(follower_relay.next_pull({reader}, now).has_value());
+    CHECK_FALSE(follower_relay.next_pull(only_reader, now).has_value());
     CHECK_TRUE(follower_relay.skip_watch_wait());
 }
 
@@ -175,7 +176,7 @@
 TEST(source_relay, pulls_from_the_next_reader_before_it_reads_the_store)
 {
     list_both();
-    const std::vector<source_peer> readers{reader, second_reader};
+    const source_readers readers{{reader, second_reader}, {}};
     const auto first = follower_relay.next_pull(readers, now);
     CHECK(first->to.instance == reader.instance);
     follower_relay.handle_timeout(first->pull.pull_number, now);
@@ -201,7 +202,7 @@
     store.write("a", "2");
     read_store(reader_watch);
     now += 3'000_ms;
-    reader_relay.record_direct_read(false);
+    reader_relay.record_failed_read(now);
     const auto answer = answer_to(reader_relay, sent);
     CHECK_FALSE(answer.available);
     CHECK(follower_relay.handle_answer(reader.instance, answer, now) == source_relay::answer_result::unconfirmed);
@@ -209,7 +210,7 @@
     CHECK(follower_watch.as_of() == reader_watch.as_of());
     // The copy is not taken for newer than the reader's last successful read.
     CHECK(follower_watch.confirmed_at() == confirmed);
-    CHECK_FALSE(follower_relay.next_pull({reader}, now).has_value());
+    CHECK_FALSE(follower_relay.next_pull(only_reader, now).has_value());
 }
 
 // Guards against an instance that cannot reach the store and still waits for the end of its direct reads before it
@@ -218,15 +219,60 @@
 {
     list_both();
     follower_relay.handle_timeout(pull().pull_number, now);
-    follower_relay.record_direct_read(false);
-    CHECK_TRUE(follower_relay.next_pull({reader}, now).has_value());
+    follower_relay.record_failed_read(now);
+    CHECK_TRUE(follower_relay.next_pull(only_reader, now).has_value());
+}
+
+// Guards against a region that goes on reading the store long after it answers the readers again, and against a copy
+// that gets too old while one silent reader after the other is asked.
+TEST(source_relay, asks_refusing_readers_again_soon_and_only_two_silent_ones)
+{
+    list_both();
+    const source_readers readers{{reader, second_reader, {instance_id{"third"}, "10.0.0.5:1"}}, {}};
+    source_answer refusal;
+    refusal.pull_number = follower_relay.next_pull(readers, now)->pull.pull_number;
+    CHECK(follower_relay.handle_answer(reader.instance, refusal, now) == source_relay::answer_result::refused);
+    CHECK(follower_relay.next_pull(readers, now + 499_ms)->to.instance == second_reader.instance);
+    CHECK(follower_relay.next_pull(readers, now + 500_ms)->to.instance == reader.instance);
+    now += 500_ms;
+    follower_relay.handle_timeout(follower_relay.next_pull(readers, now)->pull.pull_number, now);
+    follower_relay.handle_timeout(follower_relay.next_pull(readers, now)->pull.pull_number, now);
+    CHECK_FALSE(follower_relay.next_pull(readers, now).has_value());
+}
+
+// Guards against a reader that cannot read the store and gets no data although readers of a lower rank have them, and
+// against two instances that wait for each other.
+TEST(source_relay, follows_a_lower_rank_only_while_its_own_reads_fail)
+{
+    list_both();
+    const source_readers lower{{}, {second_reader}};
+    CHECK_FALSE(follower_relay.next_pull(lower, now).has_value());
+    follower_relay.record_failed_read(now + 1'000_ms);
+    const auto next = follower_relay.next_pull(lower, now);
+    CHECK(next->to.instance == second_reader.instance);
+    store.write("a", "2");
+    read_store(reader_watch);
+    const source_answer answer = answer_to(reader_relay, next->pull);
+    CHECK(follower_relay.handle_answer(second_reader.instance, answer, now) == source_relay::answer_result::accepted);
+    STRCMP_EQUAL("2", follower_watch.items().at("a").value.c_str());
+    CHECK_TRUE(follower_relay.follows_lower_rank());
+    // A pull of the reader that it follows is answered at once, without confirming the copy.
+    const auto back = follower_relay.handle_pull(second_reader, {1, follower_watch.as_of()}, now);
+    LONGS_EQUAL(1, back.size());
+    CHECK_FALSE(back.front().available);
+    // The store is tried again after 1 s, without waiting for changes.
+    CHECK_TRUE(follower_relay.next_pull(lower, now + 900_ms).has_value());
+    CHECK_FALSE(follower_relay.next_pull(lower, now + 1'000_ms).has_value());
+    CHECK_TRUE(follower_relay.skip_watch_wait());
+    follower_relay.record_read();
+    CHECK_FALSE(follower_relay.follows_lower_rank());
 }
 
 // Guards against an instance without a store that waits for a silent reader while another one answers.
 TEST(source_relay, pulls_from_a_reader_that_has_answered_when_the_store_fails)
 {
     list_both();
-    const std::vector<source_peer> readers{reader, second_reader};
+    const source_readers readers{{reader, second_reader}, {}};
     follower_relay.handle_timeout(follower_relay.next_pull(readers, now)->pull.pull_number, now);
     source_answer unconfirmed;
     unconfirmed.pull_number = follower_relay.next_pull(readers, now)->pull.pull_number;
@@ -235,7 +281,7 @@
     CHECK(follower_relay.handle_answer(second_reader.instance, unconfirmed, now) ==
           source_relay::answer_result::unconfirmed);
     CHECK_FALSE(follower_relay.next_pull(readers, now).has_value());
-    follower_relay.record_direct_read(false);
+    follower_relay.record_failed_read(now);
     CHECK(follower_relay.next_pull(readers, now)->to.instance == second_reader.instance);
 }
 
@@ -361,7 +407,7 @@
     LONGS_EQUAL(1, busy_relay.handle_pull(first, {1, sent.known_revision}, now).size());
     // When the link is idle again, a small answer needs no notice.
     now += 5'000_ms;
-    busy_relay.record_direct_read(false);
+    busy_relay.record_failed_read(now);
     LONGS_EQUAL(1, busy_relay.handle_pull(first, {2, reader_watch.as_of(), true, true, true}, now).size());
 }
 
@@ -449,7 +495,7 @@
                 }
                 case 1:
                     read_store_directly(reader_watch);
-                    reader_relay.record_direct_read(true);
+                    reader_relay.record_read();
                     for (addressed_answer& answer : reader_relay.take_pending_answers(true, now))
                     {
                         answer_in_flight = std::move(answer.answer);
@@ -463,7 +509,7 @@
                     break;
                 case 3:
                     sent.reset();
-                    if (const auto next = follower_relay.next_pull({reader}, now))
+                    if (const auto next = follower_relay.next_pull(only_reader, now))
                     {
                         sent = next->pull;
                         for (source_answer& answer : reader_relay.handle_pull(follower, *sent, now))
@@ -474,7 +520,7 @@
                     else
                     {
                         read_store_directly(follower_watch);
-                        follower_relay.record_direct_read(true);
+                        follower_relay.record_read();
                     }
                     break;
                 case 4:
--- a/libs/decision_core/include/parsleyshift/decision_core/forwarding_core.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/forwarding_core.hpp
@@ -58,10 +58,9 @@
     [[nodiscard]] bool ready(time_point now) const;
     /// @brief True once a stop is planned.
     [[nodiscard]] bool stopping() const;
-    /// @brief Peers from which this instance gets the configuration's source data, the preferred one first, so that one
-    /// instance of each region reads the source and another one takes its place when it does not answer.
-    /// @return none when this instance reads the source itself
-    [[nodiscard]] std::vector<source_peer> reading_peers() const;
+    /// @brief Peers from which this instance gets the configuration's source data, so that one instance of each region
+    /// reads the source and another one takes its place when it does not answer.
+    [[nodiscard]] source_readers reading_peers() const;
     /// @brief Bounds on callers' input from the configuration in force, or the defaults before there is one.
     [[nodiscard]] const forwarding_limits& bounds() const;
     /// @brief Replaces the hints and joins the fleet again through the new addresses at the next event.
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -98,7 +98,7 @@
     {
         return state_.stopping;
     }
-    [[nodiscard]] std::vector<source_peer> reading_peers() const
+    [[nodiscard]] source_readers reading_peers() const
     {
         using scored_member = std::pair<std::uint64_t, const member_update*>;
         std::vector<scored_member> candidates;
@@ -113,15 +113,18 @@
         std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(),
                           std::greater<>{});
         candidates.resize(count);
-        std::vector<source_peer> readers;
+        source_readers readers;
+        bool ranks_higher = true;
         for (const auto& [score, member] : candidates)
         {
-            // An instance follows only readers that are preferred to itself, so that two never wait for each other.
-            if (member->instance == state_.self().instance || member->peer_address.empty())
+            if (member->instance == state_.self().instance)
             {
-                break;
+                ranks_higher = false;
+            }
+            else if (!member->peer_address.empty())
+            {
+                (ranks_higher ? readers.preferred : readers.others).push_back({member->instance, member->peer_address});
             }
-            readers.push_back({member->instance, member->peer_address});
         }
         return readers;
     }
@@ -549,7 +552,7 @@
     return implementation_->stopping();
 }
 
-std::vector<source_peer> forwarding_core::reading_peers() const
+source_readers forwarding_core::reading_peers() const
 {
     return implementation_->reading_peers();
 }
--- a/libs/decision_core/tests/single_core.hpp
+++ b/libs/decision_core/tests/single_core.hpp
@@ -155,7 +155,7 @@
     {
         return core_.ready(now);
     }
-    [[nodiscard]] std::vector<source_peer> reading_peers() const
+    [[nodiscard]] source_readers reading_peers() const
     {
         return core_.reading_peers();
     }
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -8,6 +8,7 @@
 #include <parsleyshift/messages/store.hpp>                 // store_read
 #include <parsleyshift/runtime/http_client.hpp>            // http_client
 
+#include <algorithm>  // min
 #include <cstddef>    // size_t
 #include <cstdint>    // uint64_t
 #include <functional> // function
@@ -34,9 +35,8 @@
     {
         /// Returns the region of a zone; empty when the zone is unknown.
         std::function<region_id(const zone_id&)> region_of;
-        /// Returns the peers that read the store for this instance, the preferred one first; none when this instance
-        /// reads it directly.
-        std::function<std::vector<source_peer>()> reading_peers;
+        /// Returns the peers that read the store for this instance.
+        std::function<source_readers()> reading_peers;
         /// Sends a message to a peer.
         std::function<void(const source_peer&, peer_message)> send;
         /// Passes an event to the core.
@@ -155,6 +155,12 @@
             schedule_pull_timeout(next->pull.pull_number, relay_.answer_timeout());
             return;
         }
+        const duration delay = relay_.next_direct_read() - millisecond_clock::now();
+        if (delay > duration{})
+        {
+            schedule_request(delay);
+            return;
+        }
         request_from_store();
     }
     void schedule_pull_timeout(std::uint64_t number, duration timeout)
@@ -203,7 +209,7 @@
         {
             const http_failure& failure = response.error();
             report_read(store_read_result::no_response, failure.received_bytes, failure.message);
-            schedule_retry(failure.received_bytes > 0);
+            handle_failure(failure.received_bytes > 0);
             return;
         }
         const http_answer& answer = response.value();
@@ -217,17 +223,17 @@
         if (answer.status != ok)
         {
             report_read(store_read_result::refused, answer.body.size(), "status " + std::to_string(answer.status));
-            schedule_retry(false);
+            handle_failure(false);
             return;
         }
         if (!(is_listing ? apply_page(answer) : apply_changes(answer)))
         {
             report_read(store_read_result::malformed, answer.body.size());
-            schedule_retry(true);
+            handle_failure(true);
             return;
         }
         report_read(store_read_result::complete, answer.body.size());
-        relay_.record_direct_read(true);
+        relay_.record_read();
         publish(true);
         request_next();
     }
@@ -254,12 +260,20 @@
         return true;
     }
     /// @param response_started whether a part of a response has arrived, or one that cannot be decoded
-    void schedule_retry(bool response_started)
+    void handle_failure(bool response_started)
     {
-        relay_.record_direct_read(false);
+        relay_.record_failed_read(millisecond_clock::now() + watch_.record_failure(response_started));
         answer_peers(false);
-        callbacks_.feed(configuration_unavailable{});
-        retry_timer_.expires_after(watch_.record_failure(response_started));
+        if (!relay_.follows_lower_rank())
+        {
+            callbacks_.feed(configuration_unavailable{});
+        }
+        request_next();
+    }
+    /// Waits for the next attempt to read the store, and asks the peers from time to time meanwhile.
+    void schedule_request(duration delay)
+    {
+        retry_timer_.expires_after(std::min(delay, relay_.retry_interval()));
         retry_timer_.async_wait(
             [this](const boost::system::error_code& failure)
             {
