Ignore completions of a peer connection that has been closed

Cause: a frame is written to a peer whose end of the connection has just arrived. The write completes at once and its handler waits behind that of the end, which closes the connection and clears the queue. The handler of the write, without an error since the write had succeeded, then removed the front of the empty queue. It is as old as the peer connections, and has nothing to do with the configuration.

Connections are numbered; a handler of an earlier one does nothing. The check for operation_aborted did not cover operations that had completed before the close. http_exchange and http_session check a flag of their own and are not concerned.

--- a/libs/runtime/src/peer_link.cpp
+++ b/libs/runtime/src/peer_link.cpp
@@ -60,35 +60,35 @@
     }
     connecting_ = true;
     last_progress_ = millisecond_clock::now();
-    socket_.async_connect(endpoint.value(),
-                          [self = shared_from_this()](const boost::system::error_code& failure)
-                          {
-                              if (failure == asio::error::operation_aborted)
-                              {
-                                  return;
-                              }
-                              self->connecting_ = false;
-                              if (failure)
-                              {
-                                  self->fail();
-                                  return;
-                              }
-                              boost::system::error_code ignored;
-                              self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-                              self->connected_ = true;
-                              // Peers never send on this connection, so any completion of the read means that it was
-                              // closed.
-                              self->socket_.async_read_some(
-                                  asio::buffer(self->eof_buffer_),
-                                  [self](const boost::system::error_code& read_failure, std::size_t)
-                                  {
-                                      if (read_failure != asio::error::operation_aborted)
-                                      {
-                                          self->fail();
-                                      }
-                                  });
-                              self->write();
-                          });
+    socket_.async_connect(
+        endpoint.value(),
+        [self = shared_from_this(), connection = connection_](const boost::system::error_code& failure)
+        {
+            if (self->connection_ != connection)
+            {
+                return;
+            }
+            self->connecting_ = false;
+            if (failure)
+            {
+                self->fail();
+                return;
+            }
+            boost::system::error_code ignored;
+            self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->connected_ = true;
+            // Peers never send on this connection, so any completion of the read means that it was
+            // closed.
+            self->socket_.async_read_some(asio::buffer(self->eof_buffer_),
+                                          [self, connection](const boost::system::error_code&, std::size_t)
+                                          {
+                                              if (self->connection_ == connection)
+                                              {
+                                                  self->fail();
+                                              }
+                                          });
+            self->write();
+        });
 }
 
 void peer_link::write()
@@ -99,23 +99,24 @@
     }
     writing_ = true;
     last_progress_ = millisecond_clock::now();
-    asio::async_write(socket_, asio::buffer(queue_.front()),
-                      [self = shared_from_this()](const boost::system::error_code& failure, std::size_t)
-                      {
-                          if (failure == asio::error::operation_aborted)
-                          {
-                              return;
-                          }
-                          if (failure)
-                          {
-                              self->fail();
-                              return;
-                          }
-                          self->writing_ = false;
-                          self->queued_bytes_ -= self->queue_.front().size();
-                          self->queue_.pop_front();
-                          self->write();
-                      });
+    asio::async_write(
+        socket_, asio::buffer(queue_.front()),
+        [self = shared_from_this(), connection = connection_](const boost::system::error_code& failure, std::size_t)
+        {
+            if (self->connection_ != connection)
+            {
+                return;
+            }
+            if (failure)
+            {
+                self->fail();
+                return;
+            }
+            self->writing_ = false;
+            self->queued_bytes_ -= self->queue_.front().size();
+            self->queue_.pop_front();
+            self->write();
+        });
 }
 
 void peer_link::fail()
@@ -129,6 +130,7 @@
 
 void peer_link::close()
 {
+    ++connection_;
     queue_.clear();
     queued_bytes_ = 0;
     connecting_ = false;
--- a/libs/runtime/src/peer_link.hpp
+++ b/libs/runtime/src/peer_link.hpp
@@ -7,6 +7,7 @@
 
 #include <array>   // array
 #include <cstddef> // size_t
+#include <cstdint> // uint64_t
 #include <deque>   // deque
 #include <memory>  // enable_shared_from_this
 #include <string>  // string
@@ -49,6 +50,9 @@
     /// Frames with their length prefixes; the first one may be partly written.
     std::deque<std::string> queue_;
     std::size_t queued_bytes_ = 0;
+    /// Number of the connection. Handlers of an earlier one may still be waiting to run, also successful ones, when it
+    /// has been closed; they must not touch the queue of the next.
+    std::uint64_t connection_ = 0;
     time_point last_progress_;
     bool connecting_ = false;
     bool connected_ = false;
--- a/libs/runtime/tests/peers_and_platform_test.cpp
+++ b/libs/runtime/tests/peers_and_platform_test.cpp
@@ -2,7 +2,9 @@
 
 #include "loopback.hpp" // running_daemon, scripted_server
 
-#include <parsleyshift/wire/peer_codec.hpp> // encode, frame_header
+#include <parsleyshift/runtime/metrics.hpp>      // metrics
+#include <parsleyshift/runtime/peer_network.hpp> // peer_network
+#include <parsleyshift/wire/peer_codec.hpp>      // encode, frame_header
 
 using namespace parsleyshift;
 using namespace parsleyshift::test_support;
@@ -96,6 +98,54 @@
     CHECK_EQUAL(1, instance.metric(dropped));
 }
 
+// Guards against a write whose completion is handled after the connection was closed and its queue was cleared.
+TEST(peers_and_platform, a_connection_may_close_while_a_frame_is_being_written)
+{
+    asio::io_context context{1};
+    metrics process_metrics;
+    channel<inbound_event> events(
+        16, [] {}, [] {});
+    peer_network_options options;
+    options.address = "127.0.0.1:0";
+    peer_network network(context, options, events, process_metrics);
+    CHECK(network.listen().has_value());
+    tcp::acceptor peer(context, loopback(0));
+    const std::string address = "127.0.0.1:" + std::to_string(peer.local_endpoint().port());
+    const auto send = [&network, &address]
+    {
+        send_to_peer outgoing{instance_id{"two"}, address, budget_loan{customer_id{"c"}, 1, 1}};
+        network.send(outgoing, revision{});
+    };
+    constexpr int attempts = 20;
+    for (int attempt = 0; attempt < attempts; ++attempt)
+    {
+        send();
+        tcp::socket accepted(context);
+        peer.accept(accepted);
+        while (!network.idle())
+        {
+            context.run_one();
+        }
+        // Unread bytes would make the close a reset, which the write would notice.
+        std::string received(accepted.available(), '\0');
+        asio::read(accepted, asio::buffer(received));
+        accepted.close();
+        // The loop learns of the end of the connection before it runs this handler, which writes at once, and handles
+        // the end before the completion of the write.
+        asio::post(context, send);
+        context.poll();
+    }
+    send();
+    tcp::socket accepted(context);
+    peer.accept(accepted);
+    while (!network.idle())
+    {
+        context.run_one();
+    }
+    char first_byte = 0;
+    LONGS_EQUAL(1, asio::read(accepted, asio::buffer(&first_byte, 1)));
+}
+
 // Guards against a crash or a blocked port caused by arbitrary bytes of a peer.
 TEST(peers_and_platform, arbitrary_bytes_never_stop_the_peer_port)
 {
