Drop the compressed values of items that a listing has removed

The compressed value of an item stayed in memory when its removal was learnt from a listing and not from a watch. The assumed rate of a reader's link gets a name that says so.

--- a/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
@@ -56,9 +56,9 @@
     duration answer_timeout{1'200};
     /// Timeout after a notice that the answer is on its way.
     duration transfer_timeout{3'000};
-    /// Rate in bytes per millisecond that the link of a reader has at least, and the time for which it may be busy with
-    /// answers before further ones are preceded by a notice.
-    double slowest_link = 1'000;
+    /// Rate in bytes per millisecond that the link of a reader is assumed to have at least.
+    double min_link_rate = 1'000;
+    /// Time for which that link may be busy with answers before further ones are preceded by a notice.
     duration max_busy_time{300};
     /// Time for which an instance does not pull from a reader that did not answer.
     duration silence_avoidance{2'000};
@@ -197,7 +197,7 @@
     time_point next_direct_read_;
     bool follows_lower_rank_ = false;
     std::vector<pending_pull> pending_pulls_;
-    /// Time until which the link of this instance would be busy with answers if it had the slowest rate.
+    /// Time until which the link of this instance would be busy with answers if it had `min_link_rate`.
     time_point link_busy_until_;
 };
 
--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -137,7 +137,7 @@
     source_change change_of(const store_item& item, bool accepts_compressed);
     void record_removal(const source_change& change);
     void remove_unlisted(const source_answer& answer);
-    /// Forgets which items were removed up to a revision.
+    /// Forgets which items were removed up to a revision, and their compressed values.
     void forget_removals(revision up_to);
 
     store_watch_settings settings_;
--- a/libs/configuration/src/source_relay.cpp
+++ b/libs/configuration/src/source_relay.cpp
@@ -159,7 +159,7 @@
 {
     const double bytes = static_cast<double>(size_of(answer));
     link_busy_until_ =
-        std::max(link_busy_until_, now) + duration{static_cast<duration::rep>(bytes / settings_.slowest_link)};
+        std::max(link_busy_until_, now) + duration{static_cast<duration::rep>(bytes / settings_.min_link_rate)};
     if (!pull.accepts_notice || link_busy_until_ - now <= settings_.max_busy_time)
     {
         return std::nullopt;
--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -256,6 +256,7 @@
 {
     removals_.clear();
     removals_known_since_ = std::max(removals_known_since_, up_to);
+    std::erase_if(compressed_, [this](const auto& value) { return !items_.contains(value.first); });
 }
 
 void store_watch::restart_listing()
--- a/libs/configuration/tests/source_relay_test.cpp
+++ b/libs/configuration/tests/source_relay_test.cpp
@@ -389,7 +389,7 @@
     list_both();
     source_relay_settings settings;
     // 100 bytes take 300 ms.
-    settings.slowest_link = 1.0 / 3.0;
+    settings.min_link_rate = 1.0 / 3.0;
     source_relay busy_relay{reader_watch, settings};
     store.write("a", std::string(100, 'x'));
     read_store(reader_watch);
