--- a/libs/configuration/tests/configuration_spread_test.cpp
+++ b/libs/configuration/tests/configuration_spread_test.cpp
@@ -43,10 +43,10 @@
     while (text.size() < bytes)
     {
         text += R"({"name":"r-)" + random_name(random, 7) + R"(","host":")" + random_name(random, 6) +
-                R"(.example","path_prefix":"/)" + random_name(random, 8) +
-                R"(/","kind":"idempotent","timeout_ms":1200,"target_latency_ms":400,"priority":2,"service":")" +
+                R"(.example","path_start":"/)" + random_name(random, 8) +
+                R"(/","kind":"idempotent","timeout":1200,"objective":400,"priority":2,"target":")" +
                 random_name(random, 7) +
-                R"(","max_attempts":2,"allow_anonymous":true,"session_affinity":false,"stream_resume":false},)";
+                R"(","attempts":2,"anonymous":true,"prefix_affinity":false,"resumable":false},)";
     }
     return text;
 }
