--- a/libs/compression/src/deflate.cpp
+++ b/libs/compression/src/deflate.cpp
@@ -56,8 +56,7 @@
         throw std::bad_alloc{};
     }
     const std::unique_ptr<z_stream, inflate_deleter> owner(&state);
-    // zlib does not write to its input, but its older interface lacks the const.
-    state.next_in = const_cast<Bytef*>(input_of(bytes));
+    state.next_in = input_of(bytes);
     state.avail_in = static_cast<uInt>(bytes.size());
     std::string out;
     for (int status = Z_OK; status != Z_STREAM_END;)
