Give the first listing of the store time to arrive while its bytes keep coming

40 instances that start together all list the store.

An instance without a copy can use a listing however old it is, since the watch that follows brings it up to date. A page of the first listing may now take 12 s more once it has begun, and still fails after 0.7 s without a byte. With a copy the limit stays at 2 s, since the instance follows its peers then.

Test: a_region_that_starts_at_once_gets_the_largest_configuration (configuration_spread), which fails without the change: after 15 s no instance has a copy.

--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -25,6 +25,9 @@
     /// Longest time for which a response may take to arrive after that. A call that ends while bytes arrive has used
     /// the link for nothing, and so will the next one; a response that takes longer than this is too old to be of use.
     duration max_transfer_time{2'000};
+    /// The same for a page of the first listing, which is of use however old it is: there is no copy yet, and a watch
+    /// follows that brings it up to date.
+    duration max_first_listing_time{12'000};
     /// Delay after the first failed call, before jitter; doubles with each further consecutive failure.
     duration initial_retry_delay{100};
     /// Upper limit of that delay, before jitter.
--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -42,7 +42,7 @@
         call.after_key = last_key_;
     }
     call.timeout = call.wait + settings_.timeout_margin;
-    call.transfer_timeout = call.timeout + settings_.max_transfer_time;
+    call.transfer_timeout = call.timeout + (listed_ ? settings_.max_transfer_time : settings_.max_first_listing_time);
     return call;
 }
 
--- a/libs/configuration/tests/configuration_spread_test.cpp
+++ b/libs/configuration/tests/configuration_spread_test.cpp
@@ -22,8 +22,12 @@
 constexpr duration application_bound{4'000};
 /// An instance rejects requests when its copy has not been confirmed for this long.
 constexpr duration freshness_lease{4'300};
+/// Time after the start of many instances within which they must serve again.
+constexpr duration recovery_bound{15'000};
 constexpr std::size_t large_configuration = 54'000;
 constexpr std::size_t very_large_configuration = 390'000;
+/// The store accepts values up to 1 MB.
+constexpr std::size_t largest_configuration = 1'000'000;
 
 std::string random_name(random_source& random, std::size_t length)
 {
@@ -175,3 +179,16 @@
     run(region, 10'000_ms);
     CHECK(longest_age < freshness_lease);
 }
+
+// Guards against instances that start together and never complete a listing, since all of them share the link.
+TEST(configuration_spread, a_region_that_starts_at_once_gets_the_largest_configuration)
+{
+    simulated_region region{links, {}};
+    write(region, largest_configuration);
+    region.start();
+    links.run_until(links.now() + recovery_bound);
+    for (std::size_t index = 0; index < region_shape{}.instances; ++index)
+    {
+        CHECK(region.revision_of(index) == revision{region.store_revision()});
+    }
+}
