--- a/libs/configuration/tests/simulated_region.hpp
+++ b/libs/configuration/tests/simulated_region.hpp
@@ -212,7 +212,8 @@
     void send_answer(node& reader, node& to, source_answer answer)
     {
         constexpr std::size_t frame_bytes = 100;
-        links_.send({reader.uplink, to.downlink}, frame_bytes + size_of(answer),
+        const std::size_t bytes = frame_bytes + size_of(answer);
+        links_.send({reader.uplink, to.downlink}, bytes,
                     [this, &reader, &to, answer = std::move(answer)]
                     {
                         using enum source_relay::answer_result;
