List the store instead of reading a watch that has many versions

A response to a watch is now limited to twice the size of the local copy and 64 KB. The HTTP client sees a longer one by its header and does not read it; a listing, which has each item once, follows at once. A listing has no such limit.

--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -32,6 +32,9 @@
     duration initial_retry_delay{100};
     /// Upper limit of that delay, before jitter.
     duration max_retry_delay{800};
+    /// Largest response to a watch in bytes: this plus twice the size of the local copy. A larger one holds several
+    /// versions of the items, and the listing that follows instead is smaller.
+    std::size_t watch_response_allowance = std::size_t{64} * 1024;
     /// Number of removed keys kept for peers; a peer that needs an older one gets the keys of all items instead.
     std::size_t max_removals = 1'024;
     /// Size in bytes from which values are sent to peers in compressed form.
@@ -59,6 +62,8 @@
     duration timeout{};
     /// Time after which the call counts as failed if the response is not complete.
     duration transfer_timeout{};
+    /// watch: size in bytes above which the response is not read and a new listing starts.
+    std::size_t max_response_bytes = 0;
 };
 
 /// @brief Keeps a local copy of a store: lists all items once, then watches for changes, with one call at a time.
@@ -135,6 +140,8 @@
     };
 
     void finish_listing();
+    /// Bytes of the keys and values in the local copy.
+    [[nodiscard]] std::size_t copy_bytes() const;
     void apply(const source_change& change);
     /// The change that tells a peer the current value of an item.
     source_change change_of(const store_item& item, bool accepts_compressed);
--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -30,6 +30,7 @@
         call.what = store_call::kind::watch;
         call.after = as_of_;
         call.wait = no_wait ? duration{} : settings_.watch_wait;
+        call.max_response_bytes = settings_.watch_response_allowance + 2 * copy_bytes();
     }
     else
     {
@@ -46,6 +47,16 @@
     return call;
 }
 
+std::size_t store_watch::copy_bytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto& [key, item] : items_)
+    {
+        bytes += key.size() + item.value.size();
+    }
+    return bytes;
+}
+
 bool store_watch::handle(store_page page)
 {
     consecutive_failures_ = 0;
--- a/libs/configuration/tests/simulated_region.hpp
+++ b/libs/configuration/tests/simulated_region.hpp
@@ -340,6 +340,11 @@
             bytes += kept.change.key.size() + kept.change.value->size();
             changes.changes.push_back(kept.change);
         }
+        if (encoded(bytes) > each.call.max_response_bytes)
+        {
+            respond(each, 0, [&each] { each.watch.restart_listing(); });
+            return;
+        }
         respond(each, bytes, [&each, changes = std::move(changes)] { each.watch.handle(changes); });
     }
     /// Sends a response of the store to an instance, which applies it and goes on.
--- a/libs/configuration/tests/store_watch_test.cpp
+++ b/libs/configuration/tests/store_watch_test.cpp
@@ -116,6 +116,18 @@
     STRCMP_EQUAL("2", value_of("a").c_str());
 }
 
+// Guards against a watch that transfers many versions of an item where a listing has only the last one.
+TEST(store_watch, limits_the_response_to_a_watch_by_the_size_of_the_copy)
+{
+    store_watch_settings settings;
+    settings.watch_response_allowance = 100;
+    store_watch limited{settings, 1};
+    limited.next(start);
+    limited.handle(page({item("a", std::string(49, 'x'), 3)}, 10));
+    // The key and the value have 50 bytes.
+    LONGS_EQUAL(200, limited.next(start).max_response_bytes);
+}
+
 // Guards against a listing that continues after a failed call and so combines pages from before and after it.
 TEST(store_watch, restarts_an_interrupted_listing)
 {
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -192,7 +192,7 @@
         request.start_deadline = now + next_call.timeout;
         request.response_deadline = now + next_call.transfer_timeout;
         request.stall_timeout = stall_timeout;
-        request.body_limit = max_response_bytes;
+        request.body_limit = is_listing ? max_response_bytes : next_call.max_response_bytes;
         client_.start(std::move(request),
                       [this, is_listing](http_result response)
                       {
@@ -209,6 +209,13 @@
         {
             const http_failure& failure = response.error();
             report_read(store_read_result::no_response, failure.received_bytes, failure.message);
+            if (!is_listing && failure.failure == attempt_failure::endpoint_error)
+            {
+                // The response is too large, or no HTTP.
+                watch_.restart_listing();
+                request_next();
+                return;
+            }
             handle_failure(failure.received_bytes > 0);
             return;
         }
@@ -355,7 +362,7 @@
 
     /// Longest pause within a response of the store.
     static constexpr duration stall_timeout{700};
-    /// Maximum size of a response of the store. A page holds about 1 MB of items, or a single item of 1 MB, plus the
+    /// Maximum size of a page of a listing. A page holds about 1 MB of items, or a single item of 1 MB, plus the
     /// encoding; the protocol's decoder may accept less.
     static constexpr std::size_t max_response_bytes = std::size_t{8} * 1024 * 1024;
 
