--- a/tests/support/test_main.cpp
+++ b/tests/support/test_main.cpp
@@ -3,7 +3,7 @@
 #include "CppUTest/TestRegistry.h"            // TestRegistry
 #include "CppUTestExt/MockSupportPlugin.h"    // MockSupportPlugin
 
-#include <algorithm> // find
+#include <algorithm> // find, reverse
 #include <cstdlib>   // getenv, setenv
 #include <fstream>   // ifstream
 #include <string>    // string, getline
@@ -44,9 +44,10 @@
         }
     }
     // addTest() inserts at the front.
-    for (auto test = others.rbegin(); test != others.rend(); ++test)
+    std::reverse(others.begin(), others.end());
+    for (UtestShell* test : others)
     {
-        to.addTest(*test);
+        to.addTest(test);
     }
 }
 
