--- a/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
@@ -76,7 +76,7 @@
     duration source_answer_timeout{1'150};
     /// Number of instances of a region that its other instances may follow instead of reading the configuration source.
     /// More than two are for the case that the source refuses the calls of the first ones.
-    std::size_t source_readers = 4;
+    std::size_t max_source_readers = 4;
     /// A caller is assumed to have abandoned its stream after a pause of `silence_objective_multiple` times the route's
     /// latency objective, but not before `min_silence`.
     int silence_objective_multiple = 4;
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -109,7 +109,7 @@
                 candidates.emplace_back(rendezvous_score("source reader", member.instance.value()), &member);
             }
         }
-        const std::size_t count = std::min(candidates.size(), state_.settings.forwarding.source_readers);
+        const std::size_t count = std::min(candidates.size(), state_.settings.forwarding.max_source_readers);
         std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(),
                           std::greater<>{});
         candidates.resize(count);
