Log what marked the end of a stream and what followed its last event

Cause: the log line of a stream that a caller received short says outcome=completed. It cannot be told whether the endpoint sent a last chunk, or whether its connection closed in the middle of an event.

Change: http_exchange says whether a response ended by its own framing or by the close of the connection, forward_completed carries that and the bytes after the last event, and request_ended has them as end= and trailing_bytes=. No decision changes.

--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -398,9 +398,11 @@
     resume_run_if_ready();
 }
 
-void forwarded_request::on_completed(std::int64_t events)
+void forwarded_request::on_completed(const forward_completed& completed)
 {
-    event_count_ = events;
+    event_count_ = completed.events;
+    ending_ =
+        " end=" + std::string{name_of(completed.end)} + " trailing_bytes=" + std::to_string(completed.trailing_bytes);
     const bool scheduled_here = permit_ && pools_.scheduler_instance_of(permit_->pool()) == state_.self().instance;
     if (!scheduled_here)
     {
@@ -613,7 +615,7 @@
         " attempts=" + std::to_string(attempt_count_) + " moves=" + std::to_string(move_count_) +
         " first_ms=" + std::to_string(first_answer_latency_.count()) + " events=" + std::to_string(event_count_) +
         " longest_gap_ms=" + std::to_string(longest_gap_.count()) +
-        " took_ms=" + std::to_string((state_.now - arrived_at_).count()) + " outcome=";
+        " took_ms=" + std::to_string((state_.now - arrived_at_).count()) + ending_ + " outcome=";
     line += name_of(final_outcome);
     if (reason)
     {
--- a/libs/decision_core/src/forwarded_request.hpp
+++ b/libs/decision_core/src/forwarded_request.hpp
@@ -77,8 +77,8 @@
     void on_answer(const forward_answered& answer);
     /// @param events number of stream events received so far
     void on_progress(std::int64_t events);
-    /// @brief Handles the regular end of a stream. @param events number of stream events received in total
-    void on_completed(std::int64_t events);
+    /// @brief Handles the regular end of a stream.
+    void on_completed(const forward_completed& completed);
     /// @brief Handles the result of a copy_run action.
     void on_run_copied(const run_copied& copy);
     /// @brief Ends the attempt, then retries it or rejects the request.
@@ -172,6 +172,8 @@
     time_point last_event_at_;
     duration longest_gap_{};
     duration first_answer_latency_{};
+    /// How the stream ended, for the log; empty when it has not.
+    std::string ending_;
 };
 
 } // namespace parsleyshift::detail
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -160,8 +160,7 @@
     }
     void on(const forward_completed& completed)
     {
-        forwards_.update(completed.attempt,
-                         [&](detail::forwarded_request& active) { active.on_completed(completed.events); });
+        forwards_.update(completed.attempt, [&](detail::forwarded_request& active) { active.on_completed(completed); });
     }
     void on(const run_copied& copy)
     {
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -223,7 +223,7 @@
         }
         return true;
     }
-    void on_done(std::string& body) override
+    void on_done(std::string& body, answer_end end) override
     {
         if (evaluation_.not_run_reason)
         {
@@ -244,7 +244,7 @@
             session->end_stream();
             owner_.server_.schedule_flush(session);
         }
-        owner_.feed_(forward_completed{start_.attempt, total});
+        owner_.feed_(forward_completed{start_.attempt, total, end, splitter_.remainder().size()});
         owner_.attempts_.erase(start_.attempt);
         owner_.requests_.erase(start_.request);
     }
--- a/libs/messages/include/parsleyshift/messages/forward.hpp
+++ b/libs/messages/include/parsleyshift/messages/forward.hpp
@@ -6,6 +6,7 @@
 #include <parsleyshift/messages/endpoint.hpp> // attempt_failure
 
 #include <array>    // array
+#include <cstddef>  // size_t
 #include <cstdint>  // int64_t
 #include <optional> // optional
 #include <string>   // string
@@ -195,12 +196,31 @@
     std::int64_t events = 0;
 };
 
+/// @brief What marked the end of an answer.
+enum class answer_end
+{
+    /// Its own framing: its length or its last chunk.
+    framed,
+    /// Only the close of the connection. An endpoint that breaks the answer off may look the same.
+    connection_closed,
+};
+
+template <>
+struct enum_names<answer_end>
+{
+    static constexpr std::array rows{enum_name<answer_end>{answer_end::framed, "framed"},
+                                     enum_name<answer_end>{answer_end::connection_closed, "connection_closed"}};
+};
+
 /// @brief A delivered answer has been passed on completely.
 struct forward_completed
 {
     attempt_id attempt;
     /// Total number of events of a stream.
     std::int64_t events = 0;
+    answer_end end = answer_end::framed;
+    /// Bytes that followed the last complete event.
+    std::size_t trailing_bytes = 0;
 };
 
 /// @brief A version of the operators' configuration for forwarded requests was read.
--- a/libs/runtime/include/parsleyshift/runtime/http_client.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_client.hpp
@@ -3,6 +3,7 @@
 #include <parsleyshift/core/clock.hpp>        // time_point
 #include <parsleyshift/core/error.hpp>        // result
 #include <parsleyshift/messages/endpoint.hpp> // attempt_failure
+#include <parsleyshift/messages/forward.hpp>  // answer_end
 #include <parsleyshift/runtime/net.hpp>       // tcp_socket, steady_timer
 
 #include <boost/beast/http/fields.hpp>  // fields
@@ -77,7 +78,8 @@
     virtual bool on_body(std::string& body) = 0;
     /// @brief The response is complete.
     /// @param body bytes that the sink has not consumed
-    virtual void on_done(std::string& body) = 0;
+    /// @param end what marked the end of the response
+    virtual void on_done(std::string& body, answer_end end) = 0;
     /// @brief The exchange failed before the response was complete.
     virtual void on_failed(attempt_failure failure, std::string message) = 0;
 };
--- a/libs/runtime/src/generation_sink.cpp
+++ b/libs/runtime/src/generation_sink.cpp
@@ -122,7 +122,7 @@
     }
 }
 
-void generation_sink::on_done(std::string& body)
+void generation_sink::on_done(std::string& body, answer_end /*end*/)
 {
     if (ended_)
     {
--- a/libs/runtime/src/generation_sink.hpp
+++ b/libs/runtime/src/generation_sink.hpp
@@ -23,7 +23,7 @@
 
     bool on_head(const response_head& head) override;
     bool on_body(std::string& body) override;
-    void on_done(std::string& body) override;
+    void on_done(std::string& body, answer_end end) override;
     void on_failed(attempt_failure failure, std::string message) override;
 
   private:
--- a/libs/runtime/src/http_client.cpp
+++ b/libs/runtime/src/http_client.cpp
@@ -29,7 +29,7 @@
         received_bytes_ = body.size();
         return true;
     }
-    void on_done(std::string& body) override
+    void on_done(std::string& body, answer_end /*end*/) override
     {
         response_.body = std::move(body);
         done_(std::move(response_));
--- a/libs/runtime/src/http_exchange.cpp
+++ b/libs/runtime/src/http_exchange.cpp
@@ -308,7 +308,7 @@
     }
     if (parser_->is_done())
     {
-        complete();
+        complete(answer_end::framed);
         return;
     }
     if (connection_->input_size == connection_->input.size())
@@ -366,10 +366,10 @@
         fail(attempt_failure::link_broken, "the connection was closed before the response was complete");
         return;
     }
-    complete();
+    complete(answer_end::connection_closed);
 }
 
-void http_exchange::complete()
+void http_exchange::complete(answer_end end)
 {
     const auto self = shared_from_this();
     // When the response came before the whole request was written, the server still expects the rest of the request.
@@ -379,7 +379,7 @@
     client_.exchanges_.erase(self);
     release_connection(keep);
     const auto sink = std::move(sink_);
-    sink->on_done(parser_->get().body());
+    sink->on_done(parser_->get().body(), end);
 }
 
 void http_exchange::fail(attempt_failure failure, std::string message)
--- a/libs/runtime/src/http_exchange.hpp
+++ b/libs/runtime/src/http_exchange.hpp
@@ -65,7 +65,7 @@
     void on_input();
     bool feed_parser();
     void on_end_of_input();
-    void complete();
+    void complete(answer_end end);
     void fail(attempt_failure failure, std::string message);
     void release_connection(bool keep);
     [[nodiscard]] duration silence_timeout() const noexcept;
