--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -144,6 +144,8 @@
     "POST /x HTTP/1.1\r\nHost: h\r\nx-id: 5\r\nx-secret: s\r\nContent-Length: 2\r\n\r\nab";
 const std::string stream_head =
     "HTTP/1.1 200 OK\r\nx-id: 5\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// Head of a stream that has neither a length nor chunks and ends when its connection is closed.
+const std::string unframed_stream_head = "HTTP/1.1 200 OK\r\nx-id: 5\r\nContent-Type: text/event-stream\r\n\r\n";
 
 std::string status_of(const std::string& response)
 {
@@ -234,6 +236,23 @@
     STRCMP_EQUAL("", caller.read_all().c_str());
 }
 
+// Guards against a stream without framing that reaches the caller as complete although it ends inside an event.
+TEST(forwarder, cuts_off_an_unframed_stream_that_ends_inside_an_event)
+{
+    scripted_server endpoint(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.send(unframed_stream_head + "id: 1\ndata: a\n\nid: 2\nda");
+        });
+    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::stream));
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    caller.read_until("\r\n\r\n");
+    STRCMP_EQUAL("id: 1\ndata: a\n\n", caller.read_chunk().c_str());
+    STRCMP_EQUAL("", caller.read_all().c_str());
+}
+
 // Guards against lost or repeated events, or a second response head, when a run continues on another engine.
 TEST(forwarder, joins_the_streams_of_a_moved_run)
 {
