Cut off streams that end inside an event, and let the core decide that a stream is complete

Callers saw a stream that was broken off end with its last chunk, as if it were complete.

Cause: the transport decided alone that a stream is complete. For an answer without a length or chunks, the end of the connection is the end of the answer, also when the engine crashed; the part of an event that had arrived was passed on, and the last chunk after it. The same decision was wrong for moved runs: an engine that is told to stop a run closes its stream, and without framing that was taken for the end of the run.

Change: a stream that ends inside an event has failed, whatever its framing, and so has one that has no event and ended only with its connection. The core ends a caller's stream: when a run was told to stop and its stream was closed between two events, the result of the copy says whether the run had completed (it continues elsewhere, completes, or fails when the result is unknown).

Read for the same cause: plain answers end with their length, their last chunk or the close of their connection, and a reset is a failure (now tested); answers to copies, reports and the store are JSON, and parts of them are rejected; frames between peers have a length; generations of parsleyshiftd end with a line of their own.

--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -256,9 +256,15 @@
         state_.log(log_event::run_moving, "id=" + request_.caller_id + " not moved: endpoint=" + endpoint_.value() +
                                               " result=" + std::string{name_of(copy.result)});
         const bool stream_lost = move_->stream_ended;
+        const auto possible_completion = move_->possible_completion;
         cancel_move();
-        if (stream_lost)
+        if (possible_completion && copy.result == copy_result::refused)
         {
+            complete_stream(*possible_completion);
+        }
+        else if (stream_lost)
+        {
+            state_.emit(cancel_forward{attempt_});
             on_attempt_failed(attempt_failure::link_broken, "the stream ended while its run was being moved");
         }
         return;
@@ -401,8 +407,21 @@
 void forwarded_request::on_completed(const forward_completed& completed)
 {
     event_count_ = completed.events;
-    ending_ =
-        " end=" + std::string{name_of(completed.end)} + " trailing_bytes=" + std::to_string(completed.trailing_bytes);
+    if (move_ && move_->stop_requested && completed.end == answer_end::connection_closed)
+    {
+        // An engine that stops a run closes its stream in the same way.
+        move_->stream_ended = true;
+        move_->possible_completion = completed;
+        resume_run_if_ready();
+        return;
+    }
+    complete_stream(completed);
+}
+
+void forwarded_request::complete_stream(const forward_completed& completed)
+{
+    ending_ = " end=" + std::string{name_of(completed.end)};
+    state_.emit(deliver_forward{request_.request, attempt_});
     const bool scheduled_here = permit_ && pools_.scheduler_instance_of(permit_->pool()) == state_.self().instance;
     if (!scheduled_here)
     {
--- a/libs/decision_core/src/forwarded_request.hpp
+++ b/libs/decision_core/src/forwarded_request.hpp
@@ -46,6 +46,9 @@
     /// The run has stopped; `resumes_in_place`, `handle` and `events` are set.
     bool stopped = false;
     bool stream_ended = false;
+    /// Set when the stream ended between two events and only by the close of its connection: the run has completed, or
+    /// it was stopped.
+    std::optional<forward_completed> possible_completion;
     /// The source engine resumes the run, since the destination does not hold a complete copy.
     bool resumes_in_place = false;
     /// Identifies the copied KV cache of the run to the engine that resumes it.
@@ -130,6 +133,7 @@
     void retry_or_reject(attempt_failure failure);
     void check_silence();
     void reject(error reason);
+    void complete_stream(const forward_completed& completed);
     void succeed();
     void finish(outcome final_outcome, const std::optional<error>& reason);
     void add_timer(timer_kind kind, duration wait, std::uint64_t step);
--- a/libs/decision_core/tests/forwarding_moves_test.cpp
+++ b/libs/decision_core/tests/forwarding_moves_test.cpp
@@ -77,6 +77,53 @@
     LONGS_EQUAL(2, core.start_count(request));
 }
 
+// Guards against a stream that is ended as complete because its engine closed it to stop the run.
+TEST(forwarding_moves, resumes_a_stopped_run_whose_unframed_stream_was_closed)
+{
+    core.configure();
+    const request_id request = core.send_request("/stream/1");
+    const start_forward first = *core.last_start(request);
+    core.feed(forward_answered{first.attempt, answer_sign::success, false});
+    list_as_leaving(first.endpoint);
+    core.feed(run_copied{first.attempt, copy_result::complete, "h1", 0});
+    core.feed(forward_completed{first.attempt, 5, answer_end::connection_closed});
+    LONGS_EQUAL(1, core.delivered.size());
+    core.feed(run_copied{first.attempt, copy_result::complete, "h2", 5});
+    LONGS_EQUAL(2, core.start_count(request));
+    LONGS_EQUAL(1, core.delivered.size());
+}
+
+// Guards against a complete stream that is rejected because its run was to be stopped when it ended.
+TEST(forwarding_moves, completes_an_unframed_stream_whose_run_had_ended_before_the_stop)
+{
+    core.configure();
+    const request_id request = core.send_request("/stream/1");
+    const start_forward first = *core.last_start(request);
+    core.feed(forward_answered{first.attempt, answer_sign::success, false});
+    list_as_leaving(first.endpoint);
+    core.feed(run_copied{first.attempt, copy_result::complete, "h1", 0});
+    core.feed(forward_completed{first.attempt, 5, answer_end::connection_closed});
+    core.feed(run_copied{first.attempt, copy_result::refused, {}, 0});
+    LONGS_EQUAL(2, core.delivered.size());
+    POINTERS_EQUAL(nullptr, core.rejection(request));
+}
+
+// Guards against a stream that is ended as complete although its run may have been stopped.
+TEST(forwarding_moves, rejects_a_closed_unframed_stream_whose_run_may_have_stopped)
+{
+    core.configure();
+    const request_id request = core.send_request("/stream/1");
+    const start_forward first = *core.last_start(request);
+    core.feed(forward_answered{first.attempt, answer_sign::success, false});
+    list_as_leaving(first.endpoint);
+    core.feed(run_copied{first.attempt, copy_result::complete, "h1", 0});
+    core.feed(forward_completed{first.attempt, 5, answer_end::connection_closed});
+    core.feed(run_copied{first.attempt, copy_result::unknown, {}, 0});
+    LONGS_EQUAL(1, core.delivered.size());
+    CHECK(core.dropped == std::vector<attempt_id>{first.attempt});
+    CHECK(rejection_outcome(request) == outcome::failed);
+}
+
 // Guards against a run that is resumed at another engine although it may still run at the first one.
 TEST(forwarding_moves, does_not_resume_a_run_that_may_not_have_stopped)
 {
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -22,7 +22,8 @@
 /// @brief Transfers the bytes of forwarded requests between callers and endpoints; the core decides where they go.
 ///
 /// Responses are buffered until they are complete and the core delivers them. Only streams are forwarded as they
-/// arrive, once the core has delivered their head. All members run on the thread of the I/O context.
+/// arrive, once the core has delivered their head; their end waits for the core, too. All members run on the thread of
+/// the I/O context.
 /// @tparam P the wire protocol
 template <forwarding_protocol P>
 class forwarder final : private http_handler
@@ -57,7 +58,7 @@
     void handle(const start_forward& start);
     /// @brief Cancels an attempt and closes its connection to the endpoint; no events of the attempt follow.
     void handle(const cancel_forward& drop);
-    /// @brief Sends a complete response, or the head of a stream, to the caller.
+    /// @brief Sends a complete response, the head of a stream, or the end of a stream to the caller.
     void handle(const deliver_forward& deliver);
     /// @brief Responds to a request with an error; the connection of a stream that has begun is closed
     /// without the final chunk.
@@ -230,50 +231,56 @@
             fail(*evaluation_.not_run_reason, "the endpoint rejected the request without running it");
             return;
         }
+        if (streaming_)
+        {
+            forward_events(body);
+        }
+        else if (is_event_stream())
+        {
+            splitter_.append(body);
+        }
+        if (is_event_stream() && is_broken_off(end))
+        {
+            fail(attempt_failure::link_broken, "the stream was broken off, " +
+                                                   std::to_string(splitter_.remainder().size()) +
+                                                   " bytes after its last complete event");
+            return;
+        }
         if (!streaming_)
         {
             body_ = std::move(body);
             owner_.feed_(forward_answered{start_.attempt, evaluation_.sign, true});
             return;
         }
-        forward_events(body);
-        const std::int64_t total = events_sent();
-        if (const auto session = owner_.server_.find(start_.request))
-        {
-            session->stream().append(splitter_.remainder());
-            session->end_stream();
-            owner_.server_.schedule_flush(session);
-        }
-        owner_.feed_(forward_completed{start_.attempt, total, end, splitter_.remainder().size()});
-        owner_.attempts_.erase(start_.attempt);
-        owner_.requests_.erase(start_.request);
+        owner_.feed_(forward_completed{start_.attempt, events_sent(), end});
     }
     void on_failed(attempt_failure failure, std::string message) override
     {
         fail(failure, std::move(message));
     }
 
-    /// Sends the complete response, or the head of a stream, to the caller.
-    void deliver(http_session& session)
+    /// Sends the complete response, the head of a stream, or the end of a stream to the caller.
+    /// @return true when further parts of a stream follow
+    [[nodiscard]] bool deliver(http_session& session)
     {
+        if (streaming_)
+        {
+            session.end_stream();
+            return false;
+        }
         // An event stream that ended before the core delivered it is complete in body_.
         if (!is_event_stream() || !body_.empty())
         {
             session.answer_raw(forwarded_response_head(head_, {false, body_.size(), session.keeps_alive()}), body_);
-            return;
+            return false;
         }
         streaming_ = true;
-        if (session.is_streaming())
+        // The stream of a run that moved to another engine has begun; the events of this engine continue it.
+        if (!session.is_streaming())
         {
-            // The run moved to another engine; its events continue the stream that has begun.
-            return;
+            session.begin_stream(forwarded_response_head(head_, {true, 0, session.keeps_alive()}));
         }
-        session.begin_stream(forwarded_response_head(head_, {true, 0, session.keeps_alive()}));
-    }
-    /// Returns true for a response that is sent at once, and false for a stream.
-    [[nodiscard]] bool is_buffered() const noexcept
-    {
-        return !streaming_;
+        return true;
     }
     [[nodiscard]] request_id request() const noexcept
     {
@@ -289,6 +296,13 @@
         return start_.kind == route_kind::stream && evaluation_.sign == answer_sign::success &&
                !evaluation_.not_run_reason && type.substr(0, event_stream.size()) == event_stream;
     }
+    /// Returns true for a stream that ended inside an event. A stream without framing must also have an event: the end
+    /// of its connection may be the end of its endpoint.
+    [[nodiscard]] bool is_broken_off(answer_end end) const
+    {
+        const bool may_have_failed_early = end == answer_end::connection_closed && splitter_.event_count() == 0;
+        return may_have_failed_early || !splitter_.remainder().empty();
+    }
     [[nodiscard]] std::int64_t events_sent() const
     {
         const auto found = owner_.requests_.find(start_.request);
@@ -476,9 +490,9 @@
         return;
     }
     const auto sink = found->second.sink;
-    sink->deliver(*session);
+    const bool more_follows = sink->deliver(*session);
     server_.schedule_flush(session);
-    if (sink->is_buffered())
+    if (!more_follows)
     {
         attempts_.erase(deliver.attempt);
         requests_.erase(deliver.request);
--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -126,6 +126,10 @@
         {
             tested.handle(deliver_forward{active, answered->attempt});
         }
+        else if (const auto* completed = std::get_if<forward_completed>(&what))
+        {
+            tested.handle(deliver_forward{active, completed->attempt});
+        }
         else if (const auto* failed = std::get_if<attempt_failed>(&what))
         {
             request_rejected rejected;
@@ -253,6 +257,86 @@
     STRCMP_EQUAL("", caller.read_all().c_str());
 }
 
+// Guards against a stream whose last chunk has arrived but whose last event has not, and that looks complete.
+TEST(forwarder, cuts_off_a_framed_stream_that_ends_inside_an_event)
+{
+    scripted_server endpoint(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.send(stream_head);
+            from.send_chunk("id: 1\ndata: a\n\nid: 2\nda");
+            from.end_chunked();
+        });
+    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::stream));
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    caller.read_until("\r\n\r\n");
+    STRCMP_EQUAL("id: 1\ndata: a\n\n", caller.read_chunk().c_str());
+    STRCMP_EQUAL("", caller.read_all().c_str());
+}
+
+// Guards against an empty stream that reaches the caller as complete, from an endpoint that failed before its first
+// event.
+TEST(forwarder, cuts_off_an_unframed_stream_without_events)
+{
+    scripted_server endpoint(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.send(unframed_stream_head);
+        });
+    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::stream));
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    caller.read_until("\r\n\r\n");
+    STRCMP_EQUAL("", caller.read_all().c_str());
+}
+
+// Guards against a check for broken streams that also rejects complete ones.
+TEST(forwarder, completes_an_unframed_stream_that_ends_after_an_event)
+{
+    scripted_server endpoint(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.send(unframed_stream_head + "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
+        });
+    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::stream));
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    caller.read_until("\r\n\r\n");
+    std::string stream;
+    for (std::string chunk = caller.read_chunk(); !chunk.empty(); chunk = caller.read_chunk())
+    {
+        stream += chunk;
+    }
+    STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n", stream.c_str());
+    CHECK(forwarder.expect<forward_completed>().end == answer_end::connection_closed);
+}
+
+// Guards against an unframed answer that is rejected, or one that was reset on the way and looks complete.
+TEST(forwarder, tells_a_closed_unframed_answer_from_a_reset_one)
+{
+    for (const bool is_reset : {false, true})
+    {
+        scripted_server endpoint(
+            [is_reset](scripted_server::connection& from)
+            {
+                from.request();
+                from.send("HTTP/1.1 200 OK\r\nx-id: 5\r\n\r\nok");
+                if (is_reset)
+                {
+                    from.reset();
+                }
+            });
+        running_forwarder forwarder(simple_core(endpoint.address(), route_kind::once));
+        client caller(forwarder.port());
+        caller.send(request_text_of_caller);
+        STRCMP_EQUAL(is_reset ? "502" : "200", status_of(caller.read_answer()).c_str());
+    }
+}
+
 // Guards against lost or repeated events, or a second response head, when a run continues on another engine.
 TEST(forwarder, joins_the_streams_of_a_moved_run)
 {
@@ -283,6 +367,10 @@
         {
             tested.handle(deliver_forward{active, answered->attempt});
         }
+        else if (const auto* completed = std::get_if<forward_completed>(&what))
+        {
+            tested.handle(deliver_forward{active, completed->attempt});
+        }
         else if (std::holds_alternative<attempt_failed>(what))
         {
             start_forward continued = start_at(to_second, active, 2, route_kind::stream);
--- a/libs/messages/include/parsleyshift/messages/forward.hpp
+++ b/libs/messages/include/parsleyshift/messages/forward.hpp
@@ -6,7 +6,6 @@
 #include <parsleyshift/messages/endpoint.hpp> // attempt_failure
 
 #include <array>    // array
-#include <cstddef>  // size_t
 #include <cstdint>  // int64_t
 #include <optional> // optional
 #include <string>   // string
@@ -212,15 +211,14 @@
                                      enum_name<answer_end>{answer_end::connection_closed, "connection_closed"}};
 };
 
-/// @brief A delivered answer has been passed on completely.
+/// @brief All events of a delivered stream have been passed on. The decision core replies with deliver_forward, which
+/// ends the caller's stream, or with cancel_forward.
 struct forward_completed
 {
     attempt_id attempt;
     /// Total number of events of a stream.
     std::int64_t events = 0;
     answer_end end = answer_end::framed;
-    /// Bytes that followed the last complete event.
-    std::size_t trailing_bytes = 0;
 };
 
 /// @brief A version of the operators' configuration for forwarded requests was read.
@@ -318,7 +316,7 @@
     attempt_id attempt;
 };
 
-/// @brief Pass an attempt's answer on to the caller.
+/// @brief Pass an attempt's answer on to the caller: a complete one, the head of a stream, or the end of a stream.
 struct deliver_forward
 {
     request_id request;
--- a/libs/runtime/tests/loopback.hpp
+++ b/libs/runtime/tests/loopback.hpp
@@ -177,6 +177,12 @@
             boost::system::error_code ignored;
             asio::write(socket_, asio::buffer(bytes), ignored);
         }
+        /// Resets the connection; the peer may lose bytes that it has not read yet.
+        void reset()
+        {
+            socket_.set_option(asio::socket_base::linger(true, 0));
+            socket_.close();
+        }
         /// Sends the header of a chunked response.
         void begin_chunked()
         {
