Reset streams to HTTP/1.0 callers when they are broken off

The forwarder sent it chunks anyway, and a broken stream, a write timeout or a full backlog closed the connection as a complete stream does.

Found by reading what else decides that an answer is whole. The test resets_an_unframed_stream_that_is_broken_off failed before, on the chunked head; with only the head changed it fails on the missing reset.

Change: begin_stream keeps to what the client can read, and a stream without chunks that is not complete ends with a reset.

--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -12,6 +12,7 @@
 
 #include <functional>    // function
 #include <memory>        // shared_ptr
+#include <optional>      // nullopt
 #include <string>        // string
 #include <unordered_map> // unordered_map
 #include <utility>       // move
@@ -278,7 +279,9 @@
         // The stream of a run that moved to another engine has begun; the events of this engine continue it.
         if (!session.is_streaming())
         {
-            session.begin_stream(forwarded_response_head(head_, {true, 0, session.keeps_alive()}));
+            const bool chunked = session.accepts_chunks();
+            session.begin_stream(
+                forwarded_response_head(head_, {chunked, std::nullopt, chunked && session.keeps_alive()}));
         }
         return true;
     }
--- a/libs/forwarding/include/parsleyshift/forwarding/http_relay.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/http_relay.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>     // size_t
 #include <cstdint>     // int64_t
 #include <functional>  // function
+#include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
 
@@ -30,8 +31,8 @@
 struct response_framing
 {
     bool chunked = false;
-    /// Bytes of a body that is not chunked.
-    std::size_t body_size = 0;
+    /// Bytes of a body that is not chunked; without it, the body ends with the connection.
+    std::optional<std::size_t> body_size;
     bool keep_alive = true;
 };
 
--- a/libs/forwarding/src/http_relay.cpp
+++ b/libs/forwarding/src/http_relay.cpp
@@ -97,9 +97,9 @@
     {
         append_field(out, "Transfer-Encoding", "chunked");
     }
-    else
+    else if (framing.body_size)
     {
-        append_field(out, "Content-Length", std::to_string(framing.body_size));
+        append_field(out, "Content-Length", std::to_string(*framing.body_size));
     }
     if (!framing.keep_alive)
     {
--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -315,6 +315,38 @@
     CHECK(forwarder.expect<forward_completed>().end == answer_end::connection_closed);
 }
 
+// Guards against chunks that an HTTP/1.0 caller cannot read, and against a broken stream that looks complete to it.
+TEST(forwarder, resets_an_unframed_stream_that_is_broken_off)
+{
+    for (const bool is_complete : {true, false})
+    {
+        scripted_server endpoint(
+            [is_complete](scripted_server::connection& from)
+            {
+                from.request();
+                from.send(stream_head);
+                from.send_chunk("id: 1\ndata: a\n\n");
+                if (is_complete)
+                {
+                    from.end_chunked();
+                }
+            });
+        running_forwarder forwarder(simple_core(endpoint.address(), route_kind::stream));
+        client caller(forwarder.port());
+        caller.send("POST /x HTTP/1.0\r\nHost: h\r\nx-id: 5\r\nContent-Length: 2\r\n\r\nab");
+        if (is_complete)
+        {
+            const std::string head = caller.read_until("\r\n\r\n");
+            CHECK(head.find("Transfer-Encoding") == std::string::npos);
+            STRCMP_EQUAL("id: 1\ndata: a\n\n", caller.read_all().c_str());
+        }
+        else
+        {
+            CHECK_TRUE(caller.read_until_reset());
+        }
+    }
+}
+
 // Guards against an unframed answer that is rejected, or one that was reset on the way and looks complete.
 TEST(forwarder, tells_a_closed_unframed_answer_from_a_reset_one)
 {
--- a/libs/runtime/include/parsleyshift/runtime/http_session.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_session.hpp
@@ -42,7 +42,8 @@
     void answer(unsigned status, std::string_view content_type, std::string_view body);
     /// @brief Queues a complete response whose header the caller of this function has composed, and ends the request.
     void answer_raw(std::string_view head, std::string_view body);
-    /// @brief Starts a streamed response with the given header, which must contain `Transfer-Encoding: chunked`.
+    /// @brief Starts a streamed response with the given header, which must contain `Transfer-Encoding: chunked` if
+    /// accepts_chunks(), and `Connection: close` otherwise.
     void begin_stream(std::string_view head);
     /// @brief Returns the output buffer to which stream events are appended. Unless begin_stream() was called, the
     /// first call queues a header with status 200 and type text/event-stream.
@@ -53,8 +54,14 @@
     /// @brief Queues the end of the streamed body and ends the request.
     void end_stream();
     /// @brief Ends the request without completing its response: queued output is written, then the connection closes.
-    /// The receiver of a chunked response sees that it is incomplete, because the last chunk is missing.
+    /// The receiver of a chunked response sees that it is incomplete, because the last chunk is missing. A stream
+    /// without chunks ends with its connection, which is reset at once.
     void abort();
+    /// @brief Returns true when the client of the current request can read a chunked response, which HTTP/1.0 lacks.
+    [[nodiscard]] bool accepts_chunks() const noexcept
+    {
+        return chunked_;
+    }
     /// @brief Returns true when the connection stays open after the current response.
     [[nodiscard]] bool keeps_alive() const noexcept;
     /// @brief Starts writing the queued output unless a write is pending.
--- a/libs/runtime/src/http_session.cpp
+++ b/libs/runtime/src/http_session.cpp
@@ -225,12 +225,19 @@
 void http_session::begin_stream(std::string_view head)
 {
     output_ += head;
-    chunked_ = true;
+    keep_alive_ = keep_alive_ && chunked_;
     state_ = state::streaming;
 }
 
 void http_session::abort()
 {
+    if (state_ == state::streaming && !chunked_)
+    {
+        server_.requests_.erase(request_);
+        request_ = request_id{};
+        disconnect();
+        return;
+    }
     finish_chunk();
     keep_alive_ = false;
     end_request();
@@ -477,6 +484,8 @@
     {
         return;
     }
+    // Without chunks, a close would mark the end of a stream that is not complete.
+    const bool cuts_off_stream = state_ == state::streaming && !chunked_;
     state_ = state::closed;
     release_body_bytes();
     if (request_ != request_id{})
@@ -485,6 +494,10 @@
         server_.handler_.on_disconnected(request_);
     }
     boost::system::error_code ignored;
+    if (cuts_off_stream)
+    {
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     socket_.close(ignored);
     server_.remove(shared_from_this());
 }
--- a/libs/runtime/tests/loopback.hpp
+++ b/libs/runtime/tests/loopback.hpp
@@ -89,6 +89,13 @@
         }
         return take(input_.size());
     }
+    /// Reads until the connection ends. @return true when the peer has reset it
+    bool read_until_reset()
+    {
+        boost::system::error_code end;
+        asio::read(socket_, asio::dynamic_buffer(input_), end);
+        return end == asio::error::connection_reset;
+    }
     /// Reads one response, header included; its body is empty without a Content-Length.
     std::string read_answer()
     {
