--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -18,6 +18,16 @@
 /// Expected wait from which the retry_after of a rejected request is drawn.
 constexpr duration default_expected_wait{1'000};
 
+std::string joined(const std::vector<std::string>& parts)
+{
+    std::string text;
+    for (const std::string& part : parts)
+    {
+        text += (text.empty() ? "" : ",") + part;
+    }
+    return text;
+}
+
 fingerprint fingerprint_of(const forward_request& request, const customer_id& customer)
 {
     return fingerprint{mix_hash(request.content_hash, stable_hash(customer.value()))};
@@ -640,6 +650,7 @@
     {
         line += " why=";
         line += name_of(reason->kind);
+        line += " parts=" + joined(request_.prompt_parts);
         line += " detail=" + reason->detail;
         if (reason->retry_after)
         {
--- a/libs/messages/include/parsleyshift/messages/forward.hpp
+++ b/libs/messages/include/parsleyshift/messages/forward.hpp
@@ -154,6 +154,9 @@
     std::int64_t expected_tokens = 0;
     /// Hashes of the prompt's prefixes, longest first; matched with the prefixes in the engines' KV caches.
     std::vector<std::uint64_t> prefixes;
+    /// Ids of the parts of the prompt that other requests may share, in their order. The last part of a prompt belongs
+    /// to one request or session and is left out.
+    std::vector<std::string> prompt_parts;
     /// Hash of method, path and body; identifies a resent request.
     std::uint64_t content_hash = 0;
 };
