--- a/libs/decision_core/tests/forwarding_core_test.cpp
+++ b/libs/decision_core/tests/forwarding_core_test.cpp
@@ -280,6 +280,32 @@
     CHECK(rejection_kind(core.send_request("/stream/1")) == error_kind::quarantined);
 }
 
+// Guards against one engine after the other that is crashed by requests which have only a part of their prompts in
+// common.
+TEST(forwarding_core, stops_requests_with_a_part_that_crashes_engines)
+{
+    core.configure();
+    core.prompt_parts = {"template", "topic", "deadly"};
+    for (int engine = 1; engine <= 5; ++engine)
+    {
+        const request_id request = core.send_request("/stream/1");
+        if (const start_forward* run = core.last_start(request))
+        {
+            core.feed(forward_answered{run->attempt, answer_sign::success, false});
+            core.feed(attempt_failed{run->attempt, attempt_failure::link_broken, "reset"});
+        }
+        core.list({make_endpoint("d1", plain_service), make_endpoint("d2", plain_service),
+                   make_endpoint("n" + std::to_string(engine), engine_service)});
+        core.advance(3_s);
+        core.feed(configuration_confirmed{core.now});
+    }
+    const request_id deadly = core.send_request("/stream/1");
+    LONGS_EQUAL(0, core.start_count(deadly));
+    CHECK(rejection_kind(deadly) == error_kind::quarantined);
+    core.prompt_parts = {"template", "topic", "sound"};
+    LONGS_EQUAL(1, core.start_count(core.send_request("/stream/1")));
+}
+
 // Guards against an answer to an entry query that lists no address: an instance that is not ready omits its own address
 // unless there is no other instance.
 TEST(forwarding_core, lists_itself_in_entry_answers_without_other_instances)
--- a/libs/decision_core/tests/single_core.hpp
+++ b/libs/decision_core/tests/single_core.hpp
@@ -125,6 +125,7 @@
         request.key = key;
         request.prompt_tokens = 100;
         request.max_tokens = 400;
+        request.prompt_parts = prompt_parts;
         request.content_hash = same_content ? 1 : request_count_;
         feed(request);
         return request.request;
@@ -175,6 +176,8 @@
     time_point now = start;
     /// All requests have the same content, as if one request were resent.
     bool same_content = false;
+    /// Parts of the prompts of all requests.
+    std::vector<std::string> prompt_parts;
     std::vector<start_forward> starts;
     std::vector<attempt_id> dropped;
     std::vector<deliver_forward> delivered;
