Block the parts of prompts that crash engines

Cause: the quarantine attributes the deaths of endpoints to whole requests, by their content. Requests that have only one part of their prompts in common, no two of them alike, each start from no death.

Change: part_quarantine records a death for all parts of the runs that had not begun their answers. The first event of an answer clears its parts at all instances, so that a part which crashes engines is the one that keeps its deaths. From the second death a part is blocked, at arrival, in the queue and before the first event; other parts of the same requests stay usable, since their deaths are explained by the blocked one.

Why it works: crashes are counted over all instances by the notices of the quarantine, whose new field says that they are about a part; older instances ignore the field and record a fingerprint that no request has.

--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -3,7 +3,9 @@
 #include <parsleyshift/core/hash.hpp>           // mix_hash, stable_hash
 #include <parsleyshift/routing/retry_after.hpp> // retry_after
 
-#include <variant> // variant
+#include <algorithm> // none_of
+#include <string>    // to_string
+#include <variant>   // variant
 
 namespace parsleyshift::detail
 {
@@ -16,6 +18,8 @@
 /// Number of random choices of a peer for each quarantine notice. The same peer can be chosen twice, and a peer that is
 /// not alive is skipped; receivers forward notices that are new to them.
 constexpr std::size_t notice_fanout = 3;
+/// Time for which one instance may try a blocked part.
+constexpr duration trial_turn{5'000};
 
 candidate_policy candidate_policy_of(const core_settings& settings)
 {
@@ -106,6 +110,7 @@
 {
     attempts.erase(attempt);
     ledger.record_end(endpoint, memory, now);
+    part_deaths.run_ended(attempt, end, now);
     if (const auto notice = quarantine.run_ended(attempt, end, now))
     {
         send_quarantine_notices({*notice});
@@ -138,6 +143,42 @@
                                                 " was running at the death of " + endpoint.value());
     }
     send_quarantine_notices(notices);
+    send_quarantine_notices(part_deaths.endpoint_died(endpoint, now));
+    part_deaths_added = true;
+}
+
+void core_state::merge(const quarantine_notice& notice)
+{
+    if (!notice.prompt_part)
+    {
+        if (quarantine.merge(notice, now))
+        {
+            send_quarantine_notices({notice});
+        }
+        return;
+    }
+    if (const auto merged = part_deaths.merge(notice, now))
+    {
+        part_deaths_added = true;
+        send_quarantine_notices({*merged});
+    }
+}
+
+bool core_state::may_try(fingerprint part) const
+{
+    if (part_deaths.has_run(part))
+    {
+        return false;
+    }
+    const std::string key = std::to_string(part.value()) + '/' + std::to_string(to_ms(now) / trial_turn.count());
+    const auto score = [&key](const member_update& member)
+    {
+        return rendezvous_score(key, member.instance.value());
+    };
+    const auto current_members = members.members();
+    return std::none_of(current_members.begin(), current_members.end(),
+                        [&](const member_update& member)
+                        { return member.state == member_state::alive && score(member) > score(self()); });
 }
 
 void core_state::mark_endpoint_leaving(const endpoint_id& endpoint)
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -12,6 +12,7 @@
 #include <parsleyshift/membership/membership.hpp>             // membership
 #include <parsleyshift/messages/action.hpp>                   // action
 #include <parsleyshift/quarantine/crash_quarantine.hpp>       // crash_quarantine
+#include <parsleyshift/quarantine/part_quarantine.hpp>        // part_quarantine
 #include <parsleyshift/routing/endpoint_candidates.hpp>       // endpoint_candidates
 #include <parsleyshift/routing/endpoint_costs.hpp>            // endpoint_chooser
 #include <parsleyshift/routing/endpoint_directory.hpp>        // endpoint_directory
@@ -102,6 +103,9 @@
     endpoint_chooser chooser;
     budgeted_retry retry;
     crash_quarantine quarantine;
+    part_quarantine part_deaths;
+    /// Part deaths were added since the requests in progress were last compared with them.
+    bool part_deaths_added = false;
     customer_limits limits;
     length_estimator lengths;
     entry_selector entries;
@@ -149,6 +153,11 @@
     /// @brief Handles the death of an endpoint's process: quarantines the requests that ran there and sends the
     /// notices to peers.
     void endpoint_died(const endpoint_id& endpoint);
+    /// @brief Merges a peer's quarantine notice and forwards it when it was new.
+    void merge(const quarantine_notice& notice);
+    /// @brief Whether this instance may run one request with a blocked part, to find out whether the part still crashes
+    /// engines. One instance may, and another one after some seconds.
+    [[nodiscard]] bool may_try(fingerprint part) const;
     /// @brief Marks an endpoint that reported its planned stop as leaving.
     void mark_endpoint_leaving(const endpoint_id& endpoint);
     /// @brief Applies the latest instance list to directory, health, ledger and prefix index. An endpoint that is no
--- a/libs/decision_core/src/decision_core.cpp
+++ b/libs/decision_core/src/decision_core.cpp
@@ -305,7 +305,8 @@
     void on_peer(const instance_id& /*from*/, incarnation /*started*/, const std::string& /*address*/,
                  const quarantine_notice& notice)
     {
-        if (state_.quarantine.merge(notice, state_.now))
+        // Only forwarded requests have parts.
+        if (!notice.prompt_part && state_.quarantine.merge(notice, state_.now))
         {
             state_.send_quarantine_notices({notice});
         }
--- a/libs/decision_core/src/forward_manager.cpp
+++ b/libs/decision_core/src/forward_manager.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // max
 #include <utility>   // move
+#include <vector>    // vector
 
 namespace parsleyshift::detail
 {
@@ -183,6 +184,19 @@
     }
 }
 
+void forward_manager::reject_blocked()
+{
+    std::vector<request_id> requests;
+    for (const auto& [request, active] : active_)
+    {
+        requests.push_back(request);
+    }
+    for (const request_id request : requests)
+    {
+        update(request, [](forwarded_request& active) { active.reject_if_blocked(); });
+    }
+}
+
 void forward_manager::on_schedulers_changed()
 {
     for (auto& [request, active] : active_)
--- a/libs/decision_core/src/forward_manager.hpp
+++ b/libs/decision_core/src/forward_manager.hpp
@@ -33,6 +33,8 @@
     }
     /// @brief Passes a permit to its request, or returns it to the scheduler `from` when the request has ended.
     void handle(const permit_grant& grant, const instance_id& from);
+    /// @brief Rejects the requests whose answers have not begun and whose prompts have a part that is now blocked.
+    void reject_blocked();
     /// @brief Notifies all requests that the schedulers of pools may have moved to other instances.
     void on_schedulers_changed();
 
--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -2,9 +2,10 @@
 
 #include "call_manager.hpp" // choose_plain_endpoint
 
-#include <parsleyshift/core/hash.hpp> // mix_hash, stable_hash
+#include <parsleyshift/core/hash.hpp>                      // mix_hash, stable_hash
+#include <parsleyshift/quarantine/request_fingerprint.hpp> // prompt_part_fingerprint
 
-#include <algorithm> // max, min
+#include <algorithm> // find, max, min
 #include <utility>   // move
 
 namespace parsleyshift::detail
@@ -28,6 +29,16 @@
     return text;
 }
 
+std::vector<fingerprint> fingerprints_of(const std::vector<std::string>& parts)
+{
+    std::vector<fingerprint> fingerprints;
+    for (const std::string& part : parts)
+    {
+        fingerprints.push_back(prompt_part_fingerprint(part));
+    }
+    return fingerprints;
+}
+
 fingerprint fingerprint_of(const forward_request& request, const customer_id& customer)
 {
     return fingerprint{mix_hash(request.content_hash, stable_hash(customer.value()))};
@@ -42,6 +53,7 @@
       request_(request),
       admission_(std::move(admitted)),
       fingerprint_(fingerprint_of(request_, admission_.customer)),
+      parts_(fingerprints_of(request_.prompt_parts)),
       arrived_at_(state.now),
       deadline_(state.now + std::min(request_.timeout.value_or(admission_.matched_route.timeout),
                                      admission_.matched_route.timeout)),
@@ -57,6 +69,13 @@
         reject(state_.quarantine.rejection(fingerprint_, state_.now));
         return;
     }
+    const part_verdict verdict = state_.part_deaths.verdict_of(parts_, state_.now);
+    const bool is_trial = verdict.state == part_state::on_trial && state_.may_try(verdict.part);
+    if (verdict.state != part_state::clear && !is_trial)
+    {
+        reject_for_part(verdict);
+        return;
+    }
     add_timer(timer_kind::request_timeout, deadline_ - state_.now, 0);
     if (is_stream())
     {
@@ -69,6 +88,25 @@
     select_endpoint();
 }
 
+void forwarded_request::reject_if_blocked()
+{
+    const part_verdict verdict = state_.part_deaths.verdict_of(parts_, state_.now);
+    if (event_count_ == 0 && verdict.state == part_state::blocked)
+    {
+        reject_for_part(verdict);
+    }
+}
+
+void forwarded_request::reject_for_part(const part_verdict& verdict)
+{
+    const auto position = std::find(parts_.begin(), parts_.end(), verdict.part) - parts_.begin();
+    reject(make_error(error_kind::quarantined,
+                      "engines crash when they begin an answer on part " +
+                          request_.prompt_parts[static_cast<std::size_t>(position)] +
+                          " of the prompt; send the request without this part, or later",
+                      std::max(verdict.until - state_.now, default_expected_wait)));
+}
+
 duration forwarded_request::silence_limit() const
 {
     // Callers disconnect after a pause of this length.
@@ -182,6 +220,10 @@
     tracker_.attempt_sent();
     state_.ledger.record_start(endpoint_, expected_memory_, state_.now);
     state_.quarantine.run_started(attempt_, fingerprint_, endpoint_);
+    if (event_count_ == 0)
+    {
+        state_.part_deaths.run_started(attempt_, parts_, endpoint_);
+    }
     if (permit_)
     {
         pools_.attempt_started(permit_->pool(), endpoint_, expected_memory_);
@@ -408,6 +450,7 @@
         state_.health.record_token_gap(endpoint_, gap, state_.now);
         state_.emit(record_sample{histogram::token_gap_ms, admission_.work_class, admission_.customer, gap.count()});
     }
+    state_.send_quarantine_notices(state_.part_deaths.answer_began(attempt_, state_.now));
     event_count_ = events;
     last_event_at_ = state_.now;
     last_progress_at_ = state_.now;
@@ -416,6 +459,10 @@
 
 void forwarded_request::on_completed(const forward_completed& completed)
 {
+    if (completed.events > 0)
+    {
+        state_.send_quarantine_notices(state_.part_deaths.answer_began(attempt_, state_.now));
+    }
     event_count_ = completed.events;
     if (move_ && move_->stop_requested && completed.end == answer_end::connection_closed)
     {
@@ -465,7 +512,8 @@
     // The end of a leaving or removed engine is no evidence that the request crashed it.
     const endpoint_entry* entry = state_.directory.find(endpoint_);
     const bool is_leaving_or_removed = entry == nullptr || entry->leaving;
-    end_attempt(is_leaving_or_removed ? run_end::stopped : run_end_of(failure), false);
+    const run_end ending = is_leaving_or_removed ? run_end::stopped : run_end_of(failure);
+    end_attempt(ending, false);
     if (failure == attempt_failure::leaving)
     {
         state_.mark_endpoint_leaving(endpoint_);
--- a/libs/decision_core/src/forwarded_request.hpp
+++ b/libs/decision_core/src/forwarded_request.hpp
@@ -74,6 +74,8 @@
     void on_permit_granted(const permit_grant& grant, bool from_scheduler);
     /// @brief Rejects the request with the scheduler's error, if it is still waiting for a permit.
     void on_permit_denied(const error& denial);
+    /// @brief Rejects the request if a part of its prompt is blocked and its answer has not begun.
+    void reject_if_blocked();
     /// @brief The scheduler has queued the permit request.
     void on_permit_queued();
     /// @brief Handles the head of an answer: delivers it, or repeats an idempotent request after a fault.
@@ -131,6 +133,7 @@
     void start_attempt(const endpoint_id& endpoint);
     void end_attempt(run_end ending, bool completed);
     void retry_or_reject(attempt_failure failure);
+    void reject_for_part(const part_verdict& verdict);
     void check_silence();
     void reject(error reason);
     void complete_stream(const forward_completed& completed);
@@ -144,6 +147,8 @@
     forward_request request_;
     admission admission_;
     fingerprint fingerprint_;
+    /// Fingerprints of the parts of the prompt.
+    std::vector<fingerprint> parts_;
     outcome_tracker tracker_;
     /// Set when engines provide the service.
     std::unique_ptr<permit_holder> permit_;
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -278,10 +278,7 @@
     }
     void on_peer(const instance_id& /*from*/, const quarantine_notice& notice)
     {
-        if (state_.quarantine.merge(notice, state_.now))
-        {
-            state_.send_quarantine_notices({notice});
-        }
+        state_.merge(notice);
     }
 
     void apply_endpoint_list(const instances_listed& list)
@@ -427,6 +424,10 @@
         {
             forwards_.on_schedulers_changed();
         }
+        if (std::exchange(state_.part_deaths_added, false))
+        {
+            forwards_.reject_blocked();
+        }
         deliver_loopback();
     }
     void advance()
@@ -461,6 +462,7 @@
         if (next_purge_ <= state_.now)
         {
             state_.quarantine.purge(state_.now);
+            state_.part_deaths.purge(state_.now);
             state_.reported_health.purge(state_.now);
             next_purge_ = state_.now + purge_interval;
         }
--- a/libs/decision_core/tests/forwarding_core_test.cpp
+++ b/libs/decision_core/tests/forwarding_core_test.cpp
@@ -2,7 +2,8 @@
 
 #include "single_core.hpp" // single_core, core_fixture
 
-#include <parsleyshift/core/random_source.hpp> // random_source
+#include <parsleyshift/core/random_source.hpp>             // random_source
+#include <parsleyshift/quarantine/request_fingerprint.hpp> // prompt_part_fingerprint
 
 #include <map>    // map
 #include <vector> // vector
@@ -306,6 +307,36 @@
     LONGS_EQUAL(1, core.start_count(core.send_request("/stream/1")));
 }
 
+// Guards against requests with a blocked part that wait for an engine or run there when the part is blocked, and
+// against a sound stream that is cut off with them.
+TEST(forwarding_core, rejects_requests_in_progress_when_a_part_is_blocked)
+{
+    core.configure();
+    core.prompt_parts = {"template", "deadly"};
+    const request_id begun = core.send_request("/stream/1");
+    core.feed(forward_answered{core.last_start(begun)->attempt, answer_sign::success, false});
+    for (std::int64_t events = 1; events <= 5; ++events)
+    {
+        core.feed(forward_progress{core.last_start(begun)->attempt, events});
+        core.advance(1_s);
+    }
+    core.feed(configuration_confirmed{core.now});
+    const request_id waiting = core.send_request("/stream/1");
+    LONGS_EQUAL(1, core.start_count(waiting));
+    core.receive_member_update("peer", region_id{"r"}, member_state::alive);
+    quarantine_notice notice;
+    notice.request = prompt_part_fingerprint("deadly");
+    notice.deaths = {endpoint_id{"x1"}, endpoint_id{"x2"}};
+    notice.times = {core.now - 1_s, core.now};
+    notice.expires = core.now + 60_s;
+    notice.prompt_part = true;
+    core.receive_notice("peer", notice);
+    CHECK(rejection_kind(waiting) == error_kind::quarantined);
+    CHECK(core.dropped == std::vector<attempt_id>{core.last_start(waiting)->attempt});
+    POINTERS_EQUAL(nullptr, core.rejection(begun));
+    CHECK_FALSE(core.part_notices.empty());
+}
+
 // Guards against an answer to an entry query that lists no address: an instance that is not ready omits its own address
 // unless there is no other instance.
 TEST(forwarding_core, lists_itself_in_entry_answers_without_other_instances)
--- a/libs/decision_core/tests/single_core.hpp
+++ b/libs/decision_core/tests/single_core.hpp
@@ -160,6 +160,11 @@
     {
         return core_.reading_peers();
     }
+    /// @brief Receives a notice from a peer.
+    void receive_notice(const std::string& peer, const quarantine_notice& notice)
+    {
+        feed(peer_received{{instance_id{peer}, incarnation{1}, "10.1.0.1:81", revision{}, notice}});
+    }
     /// @brief Receives a message from a peer that announces its own membership state.
     void receive_member_update(const std::string& peer, const region_id& region, member_state state)
     {
@@ -184,6 +189,8 @@
     std::map<std::uint64_t, request_rejected> rejections;
     std::vector<entry_answer> entries;
     std::vector<copy_run> copies;
+    /// Notices about parts of prompts that were sent to peers.
+    std::vector<quarantine_notice> part_notices;
     /// Endpoints whose load reports the core watches.
     std::set<endpoint_id> watched;
     bool rejected_twice = false;
@@ -221,6 +228,14 @@
         {
             watch->enabled ? void(watched.insert(watch->endpoint)) : void(watched.erase(watch->endpoint));
         }
+        else if (const auto* sent = std::get_if<send_to_peer>(&each))
+        {
+            const auto* notice = std::get_if<quarantine_notice>(&sent->message);
+            if (notice != nullptr && notice->prompt_part)
+            {
+                part_notices.push_back(*notice);
+            }
+        }
         else if (std::holds_alternative<stop_complete>(each))
         {
             stopped = true;
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -299,7 +299,7 @@
     friend bool operator==(const budget_request&, const budget_request&) = default;
 };
 
-/// Endpoint crashes attributed to the requests with one fingerprint.
+/// Endpoint crashes attributed to the requests with one fingerprint, or to one part of their prompts.
 struct quarantine_notice
 {
     fingerprint request;
@@ -311,6 +311,8 @@
     std::vector<time_point> times{};
     /// Crashes up to this time do not count, because the request has since completed at another endpoint.
     time_point cleared_at{};
+    /// `request` is the fingerprint of a part of prompts.
+    bool prompt_part = false;
 
     friend bool operator==(const quarantine_notice&, const quarantine_notice&) = default;
 };
--- a/libs/quarantine/include/parsleyshift/quarantine/death_history.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/death_history.hpp
@@ -22,6 +22,19 @@
     /// these cover at least four deaths; two quarantine a request.
     static constexpr std::size_t max_observations = 8;
 
+    /// @brief A death of an endpoint, at a time rounded down to a step. Ordered by time, then endpoint.
+    struct observation
+    {
+        time_point when;
+        endpoint_id endpoint;
+
+        friend bool operator==(const observation&, const observation&) = default;
+        friend bool operator<(const observation& left, const observation& right)
+        {
+            return left.when != right.when ? left.when < right.when : left.endpoint < right.endpoint;
+        }
+    };
+
     /// @brief Adds an observed death, unless it is present, cleared, or older than all `max_observations` kept.
     /// O(observations).
     /// @param when time of the death, rounded down to a step
@@ -31,9 +44,11 @@
     /// @return true when the state changed
     bool clear_until(time_point until);
 
-    /// @brief Number of distinct deaths within `retention` before the latest one; 0 once `retention` has passed since
-    /// the latest. Observations of one endpoint in adjacent steps count as one death. O(observations squared), at
-    /// most 64.
+    /// @brief The distinct deaths within `retention` before the latest one, in their order; empty once `retention` has
+    /// passed since the latest. Observations of one endpoint in adjacent steps count as one death, its first one.
+    /// O(observations squared), at most 64.
+    [[nodiscard]] std::vector<observation> deaths(duration step, duration retention, time_point now) const;
+    /// @brief Number of the distinct deaths, see deaths().
     [[nodiscard]] std::size_t death_count(duration step, duration retention, time_point now) const;
     /// @brief Time of an endpoint's latest death that is not cleared. O(observations).
     [[nodiscard]] std::optional<time_point> latest_death_at(const endpoint_id& endpoint) const;
@@ -48,18 +63,6 @@
     friend bool operator==(const death_history&, const death_history&) = default;
 
   private:
-    struct observation
-    {
-        time_point when;
-        endpoint_id endpoint;
-
-        friend bool operator==(const observation&, const observation&) = default;
-        friend bool operator<(const observation& left, const observation& right)
-        {
-            return left.when != right.when ? left.when < right.when : left.endpoint < right.endpoint;
-        }
-    };
-
     /// Sorted by time, then endpoint.
     std::vector<observation> observations_;
     time_point cleared_until_;
--- a/libs/quarantine/include/parsleyshift/quarantine/request_fingerprint.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/request_fingerprint.hpp
@@ -13,4 +13,8 @@
 fingerprint request_fingerprint(const customer_id& customer, const service_id& service, std::string_view operation,
                                 std::string_view content);
 
+/// @brief Hash that identifies a part of a prompt across requests and instances.
+/// @param part id of the part, as the caller sent it
+fingerprint prompt_part_fingerprint(std::string_view part);
+
 } // namespace parsleyshift
--- a/libs/quarantine/src/death_history.cpp
+++ b/libs/quarantine/src/death_history.cpp
@@ -34,13 +34,13 @@
     return true;
 }
 
-std::size_t death_history::death_count(duration step, duration retention, time_point now) const
+std::vector<death_history::observation> death_history::deaths(duration step, duration retention, time_point now) const
 {
+    std::vector<observation> distinct;
     if (latest_death() + retention <= now)
     {
-        return 0;
+        return distinct;
     }
-    std::size_t count = 0;
     for (const observation& observed : observations_)
     {
         const bool repeats_earlier = std::any_of(observations_.begin(), observations_.end(),
@@ -52,10 +52,15 @@
                                                  });
         if (latest_death() - observed.when < retention && !repeats_earlier)
         {
-            ++count;
+            distinct.push_back(observed);
         }
     }
-    return count;
+    return distinct;
+}
+
+std::size_t death_history::death_count(duration step, duration retention, time_point now) const
+{
+    return deaths(step, retention, now).size();
 }
 
 std::optional<time_point> death_history::latest_death_at(const endpoint_id& endpoint) const
--- a/libs/quarantine/src/request_fingerprint.cpp
+++ b/libs/quarantine/src/request_fingerprint.cpp
@@ -17,4 +17,9 @@
     return fingerprint{hash};
 }
 
+fingerprint prompt_part_fingerprint(std::string_view part)
+{
+    return fingerprint{mix_hash(stable_hash("part of a prompt"), stable_hash(part))};
+}
+
 } // namespace parsleyshift
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -191,6 +191,7 @@
     3: i64 expires
     4: list<i64> times
     5: i64 cleared
+    6: bool prompt_part
 }
 
 struct permit_queued
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -403,6 +403,7 @@
     copy(wire.expires, value.expires);
     copy(wire.times, value.times);
     copy(wire.cleared, value.cleared_at);
+    copy(wire.prompt_part, value.prompt_part);
 }
 
 void fields(auto copy, auto& wire, like<permit_queued> auto& value)
