Ask an engine that has lost a run whether it still runs

Cause: the death of an engine counted once it was no longer listed, three heartbeats after its last one. An engine that is back before its entry lapses was never counted.

Change: when the connection of a run at an engine is lost, the engine is asked for its report once. A refused connection is a death, any response clears the lost runs, and silence proves neither.

Tests: asks_whether_an_engine_runs_that_has_lost_a_run, blocks_no_part_for_engines_that_survive and tells_whether_the_process_of_an_endpoint_runs; the action did not exist before.

--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -147,6 +147,28 @@
     part_deaths_added = true;
 }
 
+void core_state::probe(const endpoint_id& endpoint, const std::string& address)
+{
+    if (probed_.insert(endpoint).second)
+    {
+        emit(probe_endpoint{endpoint, address});
+    }
+}
+
+void core_state::handle(const endpoint_probed& probed)
+{
+    probed_.erase(probed.endpoint);
+    if (probed.result == probe_result::refused)
+    {
+        endpoint_died(probed.endpoint);
+    }
+    else if (probed.result == probe_result::alive)
+    {
+        quarantine.endpoint_survived(probed.endpoint);
+        part_deaths.endpoint_survived(probed.endpoint);
+    }
+}
+
 void core_state::merge(const quarantine_notice& notice)
 {
     if (!notice.prompt_part)
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -26,6 +26,7 @@
 #include <deque>         // deque
 #include <string>        // string
 #include <unordered_map> // unordered_map
+#include <unordered_set> // unordered_set
 #include <utility>       // move
 #include <vector>        // vector
 
@@ -153,6 +154,10 @@
     /// @brief Handles the death of an endpoint's process: quarantines the requests that ran there and sends the
     /// notices to peers.
     void endpoint_died(const endpoint_id& endpoint);
+    /// @brief Requests a probe of an endpoint unless one is in progress.
+    void probe(const endpoint_id& endpoint, const std::string& address);
+    /// @brief Handles the result of a probe.
+    void handle(const endpoint_probed& probed);
     /// @brief Merges a peer's quarantine notice and forwards it when it was new.
     void merge(const quarantine_notice& notice);
     /// @brief Whether this instance may run one request with a blocked part, to find out whether the part still crashes
@@ -176,6 +181,8 @@
     std::vector<action>* out = nullptr;
 
   private:
+    /// Endpoints with a probe in progress.
+    std::unordered_set<endpoint_id> probed_;
     std::uint64_t attempt_prefix_;
     std::uint64_t attempt_count_ = 0;
 };
--- a/libs/decision_core/src/decision_core.cpp
+++ b/libs/decision_core/src/decision_core.cpp
@@ -209,6 +209,7 @@
     void on(const forwarding_configured& /*configured*/) {}
     void on(const configuration_confirmed& /*confirmed*/) {}
     void on(const run_copied& /*copied*/) {}
+    void on(const endpoint_probed& /*probed*/) {}
     void on(const call_answered& answered)
     {
         const auto found = state_.attempts.find(answered.attempt);
--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -514,6 +514,10 @@
     const bool is_leaving_or_removed = entry == nullptr || entry->leaving;
     const run_end ending = is_leaving_or_removed ? run_end::stopped : run_end_of(failure);
     end_attempt(ending, false);
+    if (permit_ && ending == run_end::connection_lost)
+    {
+        state_.probe(endpoint_, endpoint_address_);
+    }
     if (failure == attempt_failure::leaving)
     {
         state_.mark_endpoint_leaving(endpoint_);
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -222,6 +222,10 @@
             pools_.endpoint_leaving(reported.report.endpoint);
         }
     }
+    void on(const endpoint_probed& probed)
+    {
+        state_.handle(probed);
+    }
     void on(const instances_listed& listed)
     {
         apply_endpoint_list(outage_filter_.filter(listed, state_.now));
--- a/libs/decision_core/tests/forwarding_core_test.cpp
+++ b/libs/decision_core/tests/forwarding_core_test.cpp
@@ -307,6 +307,40 @@
     LONGS_EQUAL(1, core.start_count(core.send_request("/stream/1")));
 }
 
+// Guards against a crashed engine that is noticed only when it is no longer listed, seconds later or never.
+TEST(forwarding_core, asks_whether_an_engine_runs_that_has_lost_a_run)
+{
+    core.configure();
+    core.prompt_parts = {"template", "deadly"};
+    for (int crash = 1; crash <= 2; ++crash)
+    {
+        const start_forward run = *core.last_start(core.send_request("/stream/1"));
+        core.feed(attempt_failed{run.attempt, attempt_failure::link_broken, "reset"});
+        LONGS_EQUAL(crash, core.probes.size());
+        CHECK(core.probes.back().endpoint == run.endpoint);
+        core.feed(endpoint_probed{run.endpoint, probe_result::refused});
+        core.advance(3_s);
+        core.feed(configuration_confirmed{core.now});
+    }
+    CHECK(rejection_kind(core.send_request("/stream/1")) == error_kind::quarantined);
+}
+
+// Guards against a part that is blocked because connections broke, while the engines run on.
+TEST(forwarding_core, blocks_no_part_for_engines_that_survive)
+{
+    core.configure();
+    core.prompt_parts = {"template", "topic"};
+    for (int broken = 1; broken <= 4; ++broken)
+    {
+        const start_forward run = *core.last_start(core.send_request("/stream/1"));
+        core.feed(attempt_failed{run.attempt, attempt_failure::link_broken, "reset"});
+        core.feed(endpoint_probed{run.endpoint, probe_result::alive});
+        core.advance(3_s);
+        core.feed(configuration_confirmed{core.now});
+    }
+    LONGS_EQUAL(1, core.start_count(core.send_request("/stream/1")));
+}
+
 // Guards against requests with a blocked part that wait for an engine or run there when the part is blocked, and
 // against a sound stream that is cut off with them.
 TEST(forwarding_core, rejects_requests_in_progress_when_a_part_is_blocked)
--- a/libs/decision_core/tests/single_core.hpp
+++ b/libs/decision_core/tests/single_core.hpp
@@ -189,6 +189,7 @@
     std::map<std::uint64_t, request_rejected> rejections;
     std::vector<entry_answer> entries;
     std::vector<copy_run> copies;
+    std::vector<probe_endpoint> probes;
     /// Notices about parts of prompts that were sent to peers.
     std::vector<quarantine_notice> part_notices;
     /// Endpoints whose load reports the core watches.
@@ -228,6 +229,10 @@
         {
             watch->enabled ? void(watched.insert(watch->endpoint)) : void(watched.erase(watch->endpoint));
         }
+        else if (auto* probe = std::get_if<probe_endpoint>(&each))
+        {
+            probes.push_back(std::move(*probe));
+        }
         else if (const auto* sent = std::get_if<send_to_peer>(&each))
         {
             const auto* notice = std::get_if<quarantine_notice>(&sent->message);
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
@@ -242,6 +242,10 @@
     {
         load_reader_.handle(watch);
     }
+    void execute(probe_endpoint& probe)
+    {
+        load_reader_.handle(probe);
+    }
     void execute(entry_answer& answer)
     {
         if (const auto session = entry_server_.find(answer.request))
--- a/libs/forwarding/include/parsleyshift/forwarding/load_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/load_reader.hpp
@@ -2,7 +2,7 @@
 
 #include <parsleyshift/core/clock.hpp>                     // millisecond_clock
 #include <parsleyshift/forwarding/forwarding_protocol.hpp> // forwarding_protocol
-#include <parsleyshift/messages/action.hpp>                // watch_endpoint
+#include <parsleyshift/messages/action.hpp>                // watch_endpoint, probe_endpoint
 #include <parsleyshift/messages/event.hpp>                 // event, load_reported, load_unavailable
 #include <parsleyshift/runtime/http_client.hpp>            // http_client
 
@@ -49,6 +49,21 @@
             schedule_poll();
         }
     }
+    /// @brief Requests one report of an endpoint, to find out whether its process runs; endpoint_probed follows.
+    void handle(const probe_endpoint& probe)
+    {
+        const time_point started = millisecond_clock::now();
+        client_.start(report_request(probe.address),
+                      [this, endpoint = probe.endpoint, started](const http_result& received)
+                      {
+                          // A connection attempt that times out fails in the same way, but later.
+                          const bool is_refused = received.has_error() &&
+                                                  received.error().failure == attempt_failure::connect_failed &&
+                                                  millisecond_clock::now() < started + response_timeout;
+                          const auto otherwise = is_refused ? probe_result::refused : probe_result::unknown;
+                          feed_(endpoint_probed{endpoint, received.has_value() ? probe_result::alive : otherwise});
+                      });
+    }
     /// @brief Stops all polling; no events follow.
     void close()
     {
@@ -95,7 +110,7 @@
             request_report(endpoint, address);
         }
     }
-    void request_report(const endpoint_id& endpoint, const std::string& address)
+    http_call report_request(const std::string& address) const
     {
         const endpoint_call report_call = protocol_.load_call();
         http_call call;
@@ -103,7 +118,11 @@
         call.text = request_text(report_call.method, report_call.target, address, report_call.body);
         call.response_deadline = millisecond_clock::now() + response_timeout;
         call.body_limit = max_report_bytes;
-        client_.start(std::move(call),
+        return call;
+    }
+    void request_report(const endpoint_id& endpoint, const std::string& address)
+    {
+        client_.start(report_request(address),
                       [this, endpoint](const http_result& received) { on_response(endpoint, received); });
     }
     void on_response(const endpoint_id& endpoint, const http_result& received)
--- a/libs/forwarding/tests/load_reader_test.cpp
+++ b/libs/forwarding/tests/load_reader_test.cpp
@@ -28,9 +28,10 @@
     {
     }
     /// @return false when the function has not returned true in time
-    bool run(const watch_endpoint& watched)
+    template <class Action = watch_endpoint>
+    bool run(const Action& requested)
     {
-        reader_.handle(watched);
+        reader_.handle(requested);
         context_.run_for(safety_timeout);
         return finished_;
     }
@@ -129,3 +130,27 @@
     CHECK_TRUE(reader.run({endpoint_id{"e"}, endpoint.address(), true, true}));
     LONGS_EQUAL(1, reports);
 }
+
+// Guards against a dead endpoint that is taken for a live one, or the other way round.
+TEST(load_reader, tells_whether_the_process_of_an_endpoint_runs)
+{
+    scripted_server endpoint(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.send("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+        });
+    for (const bool is_alive : {true, false})
+    {
+        probe_result result = probe_result::unknown;
+        running_reader reader(
+            [&result](const event& what, load_reader<small_protocol>& /*reader*/)
+            {
+                const auto* probed = std::get_if<endpoint_probed>(&what);
+                result = probed == nullptr ? result : probed->result;
+                return probed != nullptr && probed->endpoint == endpoint_id{"e"};
+            });
+        CHECK_TRUE(reader.run(probe_endpoint{endpoint_id{"e"}, is_alive ? endpoint.address() : refused_address()}));
+        CHECK(result == (is_alive ? probe_result::alive : probe_result::refused));
+    }
+}
--- a/libs/messages/include/parsleyshift/messages/action.hpp
+++ b/libs/messages/include/parsleyshift/messages/action.hpp
@@ -186,6 +186,13 @@
     bool enabled = true;
 };
 
+/// Find out whether the process of an endpoint still runs; endpoint_probed follows.
+struct probe_endpoint
+{
+    endpoint_id endpoint;
+    std::string address;
+};
+
 /// Send a placement order to an engine.
 struct send_placement_order
 {
@@ -329,6 +336,6 @@
                             stream_started, stream_tokens, stream_ended, whole_answer, call_answer, request_rejected,
                             entry_answer, key_answer, cancel_answer, send_to_peer, read_configuration, watch_endpoint,
                             send_placement_order, record_sample, request_finished, write_log, stop_complete,
-                            operator_answer, start_forward, cancel_forward, deliver_forward, copy_run>;
+                            operator_answer, start_forward, cancel_forward, deliver_forward, copy_run, probe_endpoint>;
 
 } // namespace parsleyshift
--- a/libs/messages/include/parsleyshift/messages/event.hpp
+++ b/libs/messages/include/parsleyshift/messages/event.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <parsleyshift/core/name_table.hpp>   // enum_names
 #include <parsleyshift/messages/endpoint.hpp> // load_report, attempt_failure
 #include <parsleyshift/messages/forward.hpp>  // forward_request
 #include <parsleyshift/messages/peer.hpp>     // peer_envelope
 #include <parsleyshift/messages/platform.hpp> // raw_record, listed_instance
 #include <parsleyshift/messages/request.hpp>  // generation_request
 
+#include <array>   // array
 #include <cstdint> // int64_t
 #include <string>  // string
 #include <variant> // variant
@@ -81,6 +83,32 @@
     endpoint_id endpoint;
 };
 
+/// @brief Whether the process of an endpoint accepts connections.
+enum class probe_result
+{
+    /// It responded.
+    alive,
+    /// The connection was refused: no process listens at the address.
+    refused,
+    /// Neither, within the time of the probe.
+    unknown,
+};
+
+template <>
+struct enum_names<probe_result>
+{
+    static constexpr std::array rows{enum_name<probe_result>{probe_result::alive, "alive"},
+                                     enum_name<probe_result>{probe_result::refused, "refused"},
+                                     enum_name<probe_result>{probe_result::unknown, "unknown"}};
+};
+
+/// A probe of an endpoint has ended.
+struct endpoint_probed
+{
+    endpoint_id endpoint;
+    probe_result result = probe_result::unknown;
+};
+
 /// Cache events of an engine were read.
 struct cache_reported
 {
@@ -143,6 +171,6 @@
                            load_unavailable, cache_reported, placement_answered, configuration_received,
                            configuration_unavailable, instances_listed, peer_received, stop_requested, timer_expired,
                            operator_query, forward_request, forward_answered, forward_progress, forward_completed,
-                           forwarding_configured, configuration_confirmed, run_copied>;
+                           forwarding_configured, configuration_confirmed, run_copied, endpoint_probed>;
 
 } // namespace parsleyshift
--- a/libs/runtime/src/daemon_io.cpp
+++ b/libs/runtime/src/daemon_io.cpp
@@ -104,6 +104,10 @@
 {
     return not_an_io_thread;
 }
+constexpr std::size_t thread_of(const probe_endpoint&)
+{
+    return not_an_io_thread;
+}
 /// All other actions are answers to callers; each has a field `request`.
 template <class Answer>
 constexpr std::size_t thread_of(const Answer& answer) requires requires
