Repeat the notices of the quarantine to peers

Cause: a notice is sent to three random peers, and each that learns something new sends it on. Some instances of a large fleet are missed, and an instance that starts later learns nothing of what was counted before.

Change: every second an instance sends its latest deaths, at most eight notices of each kind, to one random peer. Without deaths nothing is sent.

Test: repeats_its_notices_to_peers; without the exchange the count of notices does not grow.

--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t notice_fanout = 3;
 /// Time for which one instance may try a blocked part.
 constexpr duration trial_turn{5'000};
+/// Notices of each kind in one message exchange with a peer.
+constexpr std::size_t max_synchronized_notices = 8;
 
 candidate_policy candidate_policy_of(const core_settings& settings)
 {
@@ -203,6 +205,29 @@
                         { return member.state == member_state::alive && score(member) > score(self()); });
 }
 
+void core_state::synchronize_quarantine()
+{
+    const auto current_members = members.members();
+    if (current_members.size() < 2)
+    {
+        return;
+    }
+    // The first member is this instance.
+    const member_update& peer = current_members[1 + random.index(current_members.size() - 1)];
+    if (!is_live(peer.state))
+    {
+        return;
+    }
+    for (const auto& notice : part_deaths.notices(max_synchronized_notices, now))
+    {
+        send(peer.instance, peer.peer_address, notice);
+    }
+    for (const auto& notice : quarantine.notices(max_synchronized_notices, now))
+    {
+        send(peer.instance, peer.peer_address, notice);
+    }
+}
+
 void core_state::mark_endpoint_leaving(const endpoint_id& endpoint)
 {
     if (directory.handle_leaving(endpoint))
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -163,6 +163,8 @@
     /// @brief Whether this instance may run one request with a blocked part, to find out whether the part still crashes
     /// engines. One instance may, and another one after some seconds.
     [[nodiscard]] bool may_try(fingerprint part) const;
+    /// @brief Sends the latest deaths to a peer, which may have missed notices or be new.
+    void synchronize_quarantine();
     /// @brief Marks an endpoint that reported its planned stop as leaving.
     void mark_endpoint_leaving(const endpoint_id& endpoint);
     /// @brief Applies the latest instance list to directory, health, ledger and prefix index. An endpoint that is no
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -20,6 +20,8 @@
 {
 
 constexpr duration purge_interval{5'000};
+/// Interval at which the latest deaths of the quarantine are sent to a random peer.
+constexpr duration quarantine_exchange_interval{1'000};
 /// Busy percentage at which an instance is left out of entry answers; reported while the instance is not ready.
 constexpr int unavailable_percent = 100;
 /// Time after the start of a planned stop from which new streams are refused. A stream takes 8 s on average, so one
@@ -88,7 +90,7 @@
     {
         return std::min({state_.members.next_deadline(), state_.health.next_evaluation(), pools_.next_deadline(),
                          state_.timers.next(), outage_filter_.next_deadline(), source_watch_.next_deadline(),
-                         next_purge_, next_readiness_check_, next_stop_check_});
+                         next_purge_, next_quarantine_exchange_, next_readiness_check_, next_stop_check_});
     }
     [[nodiscard]] bool ready(time_point now) const
     {
@@ -463,6 +465,11 @@
             next_readiness_check_ = state_.now + state_.settings.forwarding.readiness_check_interval;
             state_.members.set_busy(ready(state_.now) ? 0 : unavailable_percent);
         }
+        if (next_quarantine_exchange_ <= state_.now)
+        {
+            state_.synchronize_quarantine();
+            next_quarantine_exchange_ = state_.now + quarantine_exchange_interval;
+        }
         if (next_purge_ <= state_.now)
         {
             state_.quarantine.purge(state_.now);
@@ -517,6 +524,7 @@
     time_point stop_started_at_;
     time_point next_stop_check_ = never;
     time_point next_purge_;
+    time_point next_quarantine_exchange_;
     time_point next_readiness_check_;
 };
 
--- a/libs/decision_core/tests/forwarding_core_test.cpp
+++ b/libs/decision_core/tests/forwarding_core_test.cpp
@@ -371,6 +371,24 @@
     CHECK_FALSE(core.part_notices.empty());
 }
 
+// Guards against an instance that starts later, or has missed the notices of others, and never learns of a blocked
+// part.
+TEST(forwarding_core, repeats_its_notices_to_peers)
+{
+    core.configure();
+    core.receive_member_update("peer", region_id{"r"}, member_state::alive);
+    core.prompt_parts = {"deadly"};
+    const start_forward run = *core.last_start(core.send_request("/stream/1"));
+    core.feed(attempt_failed{run.attempt, attempt_failure::link_broken, "reset"});
+    core.feed(endpoint_probed{run.endpoint, probe_result::refused});
+    const std::size_t sent_at_once = core.part_notices.size();
+    CHECK(sent_at_once > 0);
+    core.receive_member_update("peer", region_id{"r"}, member_state::alive);
+    core.advance(1'100_ms);
+    CHECK(core.part_notices.size() > sent_at_once);
+    CHECK(core.part_notices.back() == core.part_notices.front());
+}
+
 // Guards against an answer to an entry query that lists no address: an instance that is not ready omits its own address
 // unless there is no other instance.
 TEST(forwarding_core, lists_itself_in_entry_answers_without_other_instances)
