Test the count of crashes over several instances, lost messages and restarts

core_fleet joins forwarding cores by messages in virtual time, with engines that crash when they begin to answer a prompt with one part.

--- /dev/null
+++ b/libs/decision_core/tests/core_fleet.hpp
@@ -0,0 +1,341 @@
+#pragma once
+
+#include "single_core.hpp" // make_configuration, make_endpoint, single_core
+
+#include <parsleyshift/core/random_source.hpp> // random_source
+
+#include <algorithm> // find
+#include <cstdint>   // uint64_t
+#include <map>       // map
+#include <string>    // string
+#include <utility>   // move
+#include <vector>    // vector
+
+namespace parsleyshift::test
+{
+
+/// @brief Several cores that exchange messages in virtual time, and engines that crash when they begin to answer a
+/// prompt with the part `deadly`.
+class core_fleet
+{
+  public:
+    struct settings
+    {
+        std::size_t instances = 7;
+        int engines = 12;
+        /// Probability with which a message between instances is lost.
+        double loss = 0.0;
+        std::uint64_t seed = 1;
+    };
+    /// @brief A request with the deadly part that was sent to an engine.
+    struct deadly_start
+    {
+        time_point when;
+        endpoint_id engine;
+    };
+
+    explicit core_fleet(const settings& chosen) : settings_(chosen), random_(chosen.seed)
+    {
+        for (int engine = 0; engine < settings_.engines; ++engine)
+        {
+            add_engine();
+        }
+        for (std::size_t index = 0; index < settings_.instances; ++index)
+        {
+            add_core();
+        }
+        advance(2_s);
+    }
+    /// @brief Sends a request to a random instance.
+    void send_request(std::vector<std::string> parts)
+    {
+        send_request(random_.index(cores_.size()), std::move(parts));
+    }
+    /// @brief Replaces an instance by a new process, which knows nothing.
+    void restart(std::size_t index)
+    {
+        cores_.erase(cores_.begin() + static_cast<std::ptrdiff_t>(index));
+        add_core();
+    }
+    /// @brief Advances the time; the state of the store reaches all instances every 100 ms.
+    void advance(duration time)
+    {
+        for (const time_point end = now_ + time; now_ < end; now_ += step)
+        {
+            deliver_due();
+            const bool reads_store = now_.time_since_epoch() % 100_ms == duration{};
+            for (std::size_t index = 0; index < cores_.size(); ++index)
+            {
+                if (reads_store)
+                {
+                    feed(index, configuration_confirmed{now_});
+                    feed(index, instances_listed{now_, listed()});
+                }
+                feed(index, timer_expired{});
+            }
+        }
+    }
+
+    std::vector<time_point> crashes;
+    std::vector<deadly_start> deadly_starts;
+    int sound_requests = 0;
+    /// Sound requests that were rejected because of a part.
+    int sound_quarantined = 0;
+
+  private:
+    static constexpr duration step{5};
+    static constexpr duration message_delay{10};
+    /// Time from the arrival of a request at an engine to its first event.
+    static constexpr duration first_event_delay{300};
+    static constexpr duration answer_time{1'000};
+    /// Time after which a crashed engine is no longer listed, and another one is.
+    static constexpr duration replacement_delay{3'600};
+
+    struct core
+    {
+        std::string name;
+        std::string peer_address;
+        forwarding_core decisions;
+    };
+    struct run
+    {
+        std::string core;
+        endpoint_id engine;
+        bool deadly = false;
+    };
+    struct engine_state
+    {
+        endpoint_id id;
+        std::optional<time_point> crashed_at;
+    };
+    struct pending_event
+    {
+        time_point due;
+        std::string core;
+        event what;
+        /// The run must still be in progress.
+        attempt_id attempt;
+    };
+
+    void add_engine()
+    {
+        engines_.push_back({endpoint_id{"w" + std::to_string(++engine_count_)}, std::nullopt});
+    }
+    void add_core()
+    {
+        core_settings chosen = single_core::settings();
+        const std::string number = std::to_string(++core_count_);
+        chosen.self.instance = instance_id{"i" + number};
+        chosen.self.address = "10.0.0." + number + ":80";
+        chosen.self.peer_address = "10.0.0." + number + ":81";
+        chosen.seed = settings_.seed;
+        bootstrap_settings hints;
+        for (const core& member : cores_)
+        {
+            hints.seeds.push_back(member.peer_address);
+        }
+        cores_.push_back(
+            {"i" + number, chosen.self.peer_address, forwarding_core::make(chosen, std::move(hints)).value()});
+        const std::size_t index = cores_.size() - 1;
+        feed(index, forwarding_configured{make_configuration(1, {"key"})});
+        feed(index, configuration_confirmed{now_});
+        feed(index, instances_listed{now_, listed()});
+    }
+    std::vector<listed_instance> listed() const
+    {
+        std::vector<listed_instance> rows;
+        for (const engine_state& each : engines_)
+        {
+            rows.push_back(make_endpoint(each.id.value(), engine_service));
+        }
+        return rows;
+    }
+    engine_state* find_engine(const endpoint_id& id)
+    {
+        const auto found =
+            std::find_if(engines_.begin(), engines_.end(), [&id](const engine_state& each) { return each.id == id; });
+        return found == engines_.end() ? nullptr : &*found;
+    }
+    bool is_running(const endpoint_id& id)
+    {
+        const engine_state* found = find_engine(id);
+        return found != nullptr && !found->crashed_at;
+    }
+    void send_request(std::size_t index, std::vector<std::string> parts)
+    {
+        forward_request request;
+        request.request = request_id{++request_count_};
+        request.caller_id = std::to_string(request_count_);
+        request.host = "h";
+        request.path = "/stream/1";
+        request.key = "key";
+        request.prompt_tokens = 100;
+        request.max_tokens = 400;
+        request.content_hash = request_count_;
+        const bool deadly = std::find(parts.begin(), parts.end(), "deadly") != parts.end();
+        sound_requests += deadly ? 0 : 1;
+        deadly_requests_[request_count_] = deadly;
+        request.prompt_parts = std::move(parts);
+        feed(index, request);
+    }
+    void feed(std::size_t index, const event& input)
+    {
+        std::vector<action> out;
+        cores_[index].decisions.handle(input, now_, out);
+        for (action& each : out)
+        {
+            perform(index, each);
+        }
+    }
+    /// Feeds an event to the core of a name; does nothing when it has been replaced.
+    void feed(const std::string& name, const event& input)
+    {
+        const auto found =
+            std::find_if(cores_.begin(), cores_.end(), [&name](const core& each) { return each.name == name; });
+        if (found != cores_.end())
+        {
+            feed(static_cast<std::size_t>(found - cores_.begin()), input);
+        }
+    }
+    void schedule(std::size_t index, duration delay, event what, attempt_id attempt = {})
+    {
+        pending_.push_back({now_ + delay, cores_[index].name, std::move(what), attempt});
+    }
+    void perform(std::size_t index, action& requested)
+    {
+        if (const auto* attempt = std::get_if<start_forward>(&requested))
+        {
+            begin_run(index, *attempt);
+        }
+        else if (const auto* cancel = std::get_if<cancel_forward>(&requested))
+        {
+            runs_.erase(cancel->attempt);
+        }
+        else if (const auto* probe = std::get_if<probe_endpoint>(&requested))
+        {
+            const auto result = is_running(probe->endpoint) ? probe_result::alive : probe_result::refused;
+            schedule(index, message_delay, endpoint_probed{probe->endpoint, result});
+        }
+        else if (const auto* rejected = std::get_if<request_rejected>(&requested))
+        {
+            const bool is_sound = !deadly_requests_[rejected->request.value()];
+            sound_quarantined += is_sound && rejected->why.kind == error_kind::quarantined ? 1 : 0;
+        }
+        else if (auto* message = std::get_if<send_to_peer>(&requested))
+        {
+            send(index, std::move(*message));
+        }
+    }
+    void begin_run(std::size_t index, const start_forward& begun)
+    {
+        const bool deadly = deadly_requests_[begun.request.value()];
+        if (!is_running(begun.endpoint))
+        {
+            schedule(index, message_delay, attempt_failed{begun.attempt, attempt_failure::connect_failed, "refused"});
+            return;
+        }
+        runs_[begun.attempt] = {cores_[index].name, begun.endpoint, deadly};
+        if (deadly)
+        {
+            deadly_starts.push_back({now_, begun.endpoint});
+            schedule(index, first_event_delay, timer_expired{}, begun.attempt);
+            return;
+        }
+        schedule(index, first_event_delay, forward_answered{begun.attempt, answer_sign::success, false}, begun.attempt);
+        schedule(index, first_event_delay, forward_progress{begun.attempt, 1}, begun.attempt);
+        schedule(index, answer_time, forward_completed{begun.attempt, 30}, begun.attempt);
+    }
+    void send(std::size_t index, send_to_peer message)
+    {
+        const bool is_lost = static_cast<double>(random_.index(1'000)) < settings_.loss * 1'000;
+        for (std::size_t to = 0; to < cores_.size() && !is_lost; ++to)
+        {
+            if (cores_[to].peer_address == message.peer_address)
+            {
+                schedule(to, message_delay,
+                         peer_received{{instance_id{cores_[index].name}, incarnation{1}, cores_[index].peer_address,
+                                        revision{}, std::move(message.message)}});
+                return;
+            }
+        }
+    }
+    void deliver_due()
+    {
+        replace_crashed_engines();
+        std::vector<pending_event> due;
+        for (std::size_t at = 0; at < pending_.size();)
+        {
+            if (pending_[at].due > now_)
+            {
+                ++at;
+                continue;
+            }
+            due.push_back(std::move(pending_[at]));
+            pending_.erase(pending_.begin() + static_cast<std::ptrdiff_t>(at));
+        }
+        for (pending_event& each : due)
+        {
+            deliver(each);
+        }
+    }
+    void deliver(const pending_event& arrived)
+    {
+        const auto run_of = runs_.find(arrived.attempt);
+        const bool needs_run = arrived.attempt != attempt_id{};
+        if (needs_run && run_of == runs_.end())
+        {
+            return;
+        }
+        if (needs_run && run_of->second.deadly)
+        {
+            crash(run_of->second.engine);
+            return;
+        }
+        if (std::holds_alternative<forward_completed>(arrived.what))
+        {
+            runs_.erase(run_of);
+        }
+        feed(arrived.core, arrived.what);
+    }
+    void crash(const endpoint_id& id)
+    {
+        find_engine(id)->crashed_at = now_;
+        crashes.push_back(now_);
+        std::vector<std::pair<std::string, attempt_id>> ended;
+        for (const auto& [attempt, each] : runs_)
+        {
+            if (each.engine == id)
+            {
+                ended.emplace_back(each.core, attempt);
+            }
+        }
+        for (const auto& [core_name, attempt] : ended)
+        {
+            runs_.erase(attempt);
+            feed(core_name, attempt_failed{attempt, attempt_failure::link_broken, "reset"});
+        }
+    }
+    void replace_crashed_engines()
+    {
+        const auto gone = std::erase_if(engines_, [this](const engine_state& each)
+                                        { return each.crashed_at && *each.crashed_at + replacement_delay <= now_; });
+        for (std::size_t added = 0; added < gone; ++added)
+        {
+            add_engine();
+        }
+    }
+
+    settings settings_;
+    random_source random_;
+    time_point now_ = start;
+    int engine_count_ = 0;
+    int core_count_ = 0;
+    std::uint64_t request_count_ = 0;
+    std::vector<engine_state> engines_;
+    std::vector<core> cores_;
+    std::map<attempt_id, run> runs_;
+    std::map<std::uint64_t, bool> deadly_requests_;
+    std::vector<pending_event> pending_;
+};
+
+} // namespace parsleyshift::test
