Add failing tests for a store that comes back from a copy, and fields for its era

Six tests fail on this code: an instance keeps what the store has lost, since a listing of the copy has a lower revision than the one it holds; it goes on watching from a revision that exists again; it mixes pages of two eras; it hands on and takes copies of an earlier era; and it confirms a configuration that the store no longer has. The fields carry the era and nothing reads them yet.

--- a/libs/configuration/tests/source_relay_test.cpp
+++ b/libs/configuration/tests/source_relay_test.cpp
@@ -136,6 +136,48 @@
     CHECK(follower_watch.confirmed_at() == sent_at - 300_ms);
 }
 
+// Guards against a follower that keeps what a store has lost, or misses what was written since, because it compares
+// revisions of two eras.
+TEST(source_relay, hands_on_a_new_era_as_a_whole)
+{
+    store.write("lost", "1");
+    list_both();
+    for (store_watch* each : {&reader_watch, &follower_watch})
+    {
+        each->restart_listing();
+        each->next(now);
+        each->handle({{{"a", "1", revision{40}}, {"lost", "1", revision{39}}}, false, revision{40}, source_era{1}});
+    }
+    reader_watch.restart_listing();
+    reader_watch.next(now);
+    reader_watch.handle({{{"a", "2", revision{12}}}, false, revision{13}, source_era{2}});
+    const auto answers = reader_relay.handle_pull(follower, pull(), now);
+    LONGS_EQUAL(1, answers.size());
+    CHECK(follower_relay.handle_answer(reader.instance, answers.front(), now) == source_relay::answer_result::accepted);
+    CHECK(follower_watch.items() == reader_watch.items());
+    CHECK(follower_watch.next(now).after == revision{13});
+}
+
+// Guards against an instance that goes back to what a store has lost, because a peer still has it.
+TEST(source_relay, refuses_a_reader_of_an_earlier_era)
+{
+    reader_watch.next(now);
+    reader_watch.handle({{{"a", "lost", revision{40}}}, false, revision{40}, source_era{1}});
+    follower_watch.next(now);
+    follower_watch.handle({{{"a", "kept", revision{12}}}, false, revision{12}, source_era{2}});
+    const source_pull sent = pull();
+    const auto answers = reader_relay.handle_pull(follower, sent, now);
+    for (const source_answer& each : answers)
+    {
+        CHECK(follower_relay.handle_answer(reader.instance, each, now) != source_relay::answer_result::accepted);
+    }
+    for (const addressed_answer& each : reader_relay.take_pending_answers(true, now))
+    {
+        CHECK(follower_relay.handle_answer(reader.instance, each.answer, now) != source_relay::answer_result::accepted);
+    }
+    STRCMP_EQUAL("kept", follower_watch.items().at("a").value.c_str());
+}
+
 // Guards against a change that the reader already has and that reaches a follower only after the reader's next watch.
 TEST(source_relay, answers_at_once_when_the_follower_is_behind)
 {
--- a/libs/configuration/tests/store_watch_test.cpp
+++ b/libs/configuration/tests/store_watch_test.cpp
@@ -2,8 +2,9 @@
 
 #include <parsleyshift/configuration/store_watch.hpp> // store_watch
 
-#include <map>    // map
-#include <string> // string
+#include <algorithm> // count
+#include <map>       // map
+#include <string>    // string
 
 using namespace parsleyshift;
 using namespace parsleyshift::literals;
@@ -13,9 +14,9 @@
 
 constexpr time_point start = at_ms(1'000'000);
 
-store_page page(std::vector<store_item> items, std::uint64_t as_of, bool more = false)
+store_page page(std::vector<store_item> items, std::uint64_t as_of, bool more = false, std::uint64_t era = 0)
 {
-    return {std::move(items), more, revision{as_of}};
+    return {std::move(items), more, revision{as_of}, source_era{era}};
 }
 
 store_item item(const std::string& key, const std::string& value, std::uint64_t changed)
@@ -155,6 +156,64 @@
     }
 }
 
+// Guards against a watch that goes on in a store which came back from a copy: its revisions exist again, but the
+// changes that led to them are others.
+TEST(store_watch, lists_again_when_the_era_rises)
+{
+    watch.next(start);
+    watch.handle(page({item("a", "lost", 19), item("b", "lost", 20)}, 20));
+    watch.next(start + 1_s);
+    watch.handle({{{"c", "2", revision{21}}}, revision{21}, source_era{2}});
+    STRCMP_EQUAL("none", value_of("c").c_str());
+    CHECK(watch.confirmed_at() == start);
+    CHECK(watch.next(start + 2_s).what == store_call::kind::list);
+    CHECK(watch.handle(page({item("a", "kept", 12)}, 12, false, 2)));
+    STRCMP_EQUAL("kept", value_of("a").c_str());
+    STRCMP_EQUAL("none", value_of("b").c_str());
+    CHECK(watch.confirmed_at() == start + 2_s);
+    const auto changed = watch.take_changed();
+    CHECK(std::count(changed.begin(), changed.end(), "b") > 0);
+    const store_call next = watch.next(start + 3_s);
+    CHECK(next.what == store_call::kind::watch);
+    CHECK(next.after == revision{12});
+}
+
+// Guards against a listing that is composed of pages from before and after the store came back from a copy.
+TEST(store_watch, begins_a_listing_again_when_the_era_rises_between_pages)
+{
+    watch.next(start);
+    CHECK_FALSE(watch.handle(page({item("a", "lost", 19)}, 20, true)));
+    watch.next(start + 1_s);
+    CHECK_FALSE(watch.handle(page({item("b", "2", 11)}, 11, false, 2)));
+    const store_call next = watch.next(start + 2_s);
+    CHECK(next.what == store_call::kind::list);
+    STRCMP_EQUAL("", next.after_key.c_str());
+    CHECK(watch.handle(page({item("b", "2", 11)}, 11, false, 2)));
+    STRCMP_EQUAL("none", value_of("a").c_str());
+}
+
+// Guards against an instance that goes back to an era which has ended, when it rises twice in series.
+TEST(store_watch, never_goes_back_to_an_earlier_era)
+{
+    watch.next(start);
+    watch.handle(page({item("a", "1", 20)}, 20));
+    for (std::uint64_t era = 2; era <= 3; ++era)
+    {
+        watch.next(start + 1_s);
+        watch.handle({{}, revision{20}, source_era{era}});
+        watch.next(start + 1_s);
+        watch.handle(page({item("a", std::to_string(era), 9)}, 10, false, era));
+    }
+    watch.next(start + 5_s);
+    watch.handle({{{"a", "old", revision{30}}}, revision{30}, source_era{2}});
+    STRCMP_EQUAL("3", value_of("a").c_str());
+    watch.restart_listing();
+    watch.next(start + 6_s);
+    watch.handle(page({item("a", "old", 30)}, 30, false, 2));
+    STRCMP_EQUAL("3", value_of("a").c_str());
+    CHECK(watch.confirmed_at() == start + 1_s);
+}
+
 // Guards against a local copy that differs from the store after any sequence of changes, pages and dropped histories.
 TEST(store_watch, matches_the_store_after_any_sequence_of_changes)
 {
--- a/libs/core/include/parsleyshift/core/ids.hpp
+++ b/libs/core/include/parsleyshift/core/ids.hpp
@@ -28,6 +28,9 @@
 using incarnation = strong_number<struct incarnation_tag>;
 /// Revision of the configuration data; a later change has a higher number.
 using revision = strong_number<struct revision_tag>;
+/// Counts how often the configuration service has come back from a copy of its data, in which revisions go back. Only
+/// revisions of one era can be compared; 0 is that of a service that states none.
+using source_era = strong_number<struct source_era_tag>;
 /// Fencing token of placement orders: an endpoint rejects an order with an outdated number.
 using fencing_number = strong_number<struct fencing_tag>;
 /// Hash of a request's customer and content; equal when the same request is sent again.
--- a/libs/decision_core/tests/forwarding_core_test.cpp
+++ b/libs/decision_core/tests/forwarding_core_test.cpp
@@ -389,6 +389,20 @@
     CHECK(core.part_notices.back() == core.part_notices.front());
 }
 
+// Guards against a configuration that counts as the newest although the store has lost it and holds an older one.
+TEST(forwarding_core, does_not_confirm_a_configuration_that_the_store_has_lost)
+{
+    core.configure();
+    core.feed(forwarding_configured{make_configuration(3, {"key", "lost"})});
+    core.feed(forwarding_configured{make_configuration(2, {"key"})});
+    core.advance(5_s);
+    core.feed(configuration_confirmed{core.now});
+    CHECK(rejection_kind(core.send_request("/idempotent/1", "lost")) == error_kind::configuration_missing);
+    core.feed(forwarding_configured{make_configuration(3, {"key", "lost"})});
+    core.feed(configuration_confirmed{core.now});
+    LONGS_EQUAL(1, core.start_count(core.send_request("/idempotent/1", "lost")));
+}
+
 // Guards against an answer to an entry query that lists no address: an instance that is not ready omits its own address
 // unless there is no other instance.
 TEST(forwarding_core, lists_itself_in_entry_answers_without_other_instances)
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -360,6 +360,8 @@
     bool accepts_compressed = false;
     /// True if the requesting instance handles answers with `follows`. Instances of earlier releases leave it false.
     bool accepts_notice = false;
+    /// Era of `known_revision`. Instances of earlier releases leave it 0.
+    source_era known_era{};
 
     friend bool operator==(const source_pull&, const source_pull&) = default;
 };
@@ -400,6 +402,9 @@
     std::vector<std::string> unchanged_keys;
     /// True for a notice without changes: the answer was sent behind it and may take long to arrive.
     bool follows = false;
+    /// Era of `at_revision`; in another one than that of the pull, `lists_all` is true and `changes` has all items.
+    /// Instances of earlier releases leave it 0.
+    source_era era{};
 
     friend bool operator==(const source_answer&, const source_answer&) = default;
 };
--- a/libs/messages/include/parsleyshift/messages/store.hpp
+++ b/libs/messages/include/parsleyshift/messages/store.hpp
@@ -35,6 +35,7 @@
     bool more = false;
     /// Revision of the configuration service when the page was read.
     revision at_revision;
+    source_era era{};
 };
 
 /// @brief A change of an item; `value` is empty if the item was removed.
@@ -51,6 +52,7 @@
     std::vector<store_change> changes;
     /// Revision up to which the changes are complete.
     revision at_revision;
+    source_era era{};
 };
 
 /// @brief Parsed content of an item of the configuration service; std::monostate for items that do not concern
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -219,6 +219,7 @@
     3: bool accepts_listing
     4: bool accepts_compressed
     5: bool accepts_notice
+    6: i64 known_era
 }
 
 struct source_change
@@ -241,6 +242,7 @@
     7: bool lists_all
     8: list<string> unchanged_keys
     9: bool follows
+    10: i64 era
 }
 
 union message
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -431,6 +431,7 @@
     copy(wire.accepts_listing, value.accepts_listing);
     copy(wire.accepts_compressed, value.accepts_compressed);
     copy(wire.accepts_notice, value.accepts_notice);
+    copy(wire.known_era, value.known_era);
 }
 
 void fields(auto copy, auto& wire, like<source_change> auto& value)
@@ -453,6 +454,7 @@
     copy(wire.lists_all, value.lists_all);
     copy(wire.unchanged_keys, value.unchanged_keys);
     copy(wire.follows, value.follows);
+    copy(wire.era, value.era);
 }
 
 /// @brief Calls `visit(member, message_type, is_set)` for each member of the union; the result says whether it is set.
