Compare the store's revisions within one era only

A store that comes back from a copy gives revisions out again. An instance discarded every listing whose revision was lower than that of its copy, until the store had caught up, and went on watching from a revision that existed again, without the changes that had led to it. Peers handed on what was lost, and the version in force was confirmed although the store held an older one.

Change: watches, listings, answers between peers and the local copy have an era. A later one is listed whole and replaces the copy when it is complete; an earlier one, none after one, or one that is not a number is a failed read that names it. A configuration that the store has lost stays in force and is not confirmed until it is written again. Endpoints missing in the copy are kept as after an outage.

--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -72,6 +72,10 @@
 /// the changes made while later pages were read. When the store no longer has the history that a watch needs, a new
 /// listing replaces all items.
 ///
+/// A store may come back from a copy of its data that is some seconds old. Its era rises then, revisions go back and
+/// are given out again. Revisions are compared within one era only: in a new one all items are listed, and answers of
+/// an earlier one are ignored. Until that listing is complete the local copy stays in use without being confirmed.
+///
 /// Peers get the latest change of each item, not the changes in between, so that the size of an answer is bounded by
 /// that of the items, however many changes a peer has missed.
 class store_watch
@@ -87,11 +91,12 @@
     /// @brief Handles a page of a listing.
     /// @return true when the listing is complete
     bool handle(store_page page);
-    /// @brief Handles the answer to a watch; answers older than the local copy are ignored.
+    /// @brief Handles the answer to a watch; answers older than the local copy are ignored, and one of a later era
+    /// starts a listing.
     void handle(const store_changes& answer);
     /// @brief Applies changes that a peer has read; answers older than the local copy are ignored.
     /// @param requested_at time at which the pull was sent to the peer
-    /// @return false when a value cannot be decompressed; then nothing is applied
+    /// @return false when a value cannot be decompressed, or a later era is not complete; then nothing is applied
     bool apply_relayed(const source_answer& answer, time_point requested_at);
     /// @brief Returns the answer to a pull. `available` and `complete` are false when the copy is older than the
     /// receiver's, or when the receiver needs a list of all keys and does not accept it.
@@ -125,6 +130,16 @@
     {
         return as_of_;
     }
+    /// @brief Era of the local copy.
+    [[nodiscard]] source_era era() const noexcept
+    {
+        return era_;
+    }
+    /// @brief True when changes up to a revision of an era are as new as the local copy.
+    [[nodiscard]] bool is_current(source_era era, revision at_revision) const noexcept
+    {
+        return era != era_ ? era > era_ : at_revision >= as_of_;
+    }
     /// @brief True once a first listing is complete.
     [[nodiscard]] bool listed() const noexcept
     {
@@ -140,6 +155,12 @@
     };
 
     void finish_listing();
+    /// Replaces the items by those of the listing, which is of the same era.
+    void merge_listing();
+    /// Replaces the local copy by items of a later era.
+    void replace_copy(std::map<std::string, store_item> items, source_era era);
+    /// Answer for a peer whose copy is of an earlier era.
+    source_answer whole_answer(const source_pull& pull, time_point now);
     /// Bytes of the keys and values in the local copy.
     [[nodiscard]] std::size_t copy_bytes() const;
     void apply(const source_change& change);
@@ -162,7 +183,10 @@
     std::map<std::string, compressed_value> compressed_;
     std::string last_key_;
     revision as_of_;
+    /// Era of as_of_ and of all items.
+    source_era era_;
     revision listing_as_of_;
+    source_era listing_era_;
     time_point call_started_at_;
     time_point listing_started_at_;
     time_point confirmed_ = time_point::min();
--- a/libs/configuration/src/source_relay.cpp
+++ b/libs/configuration/src/source_relay.cpp
@@ -35,7 +35,7 @@
         return std::nullopt;
     }
     pull_in_progress_ = sent_pull{reader->instance, ++last_pull_number_, now, to_lower_rank};
-    return addressed_pull{*reader, {last_pull_number_, watch_.as_of(), true, true, true}};
+    return addressed_pull{*reader, {last_pull_number_, watch_.as_of(), true, true, true, watch_.era()}};
 }
 
 source_relay::answer_result source_relay::handle_answer(const instance_id& from, const source_answer& answer,
@@ -53,7 +53,7 @@
     const bool from_lower_rank = pull_in_progress_->to_lower_rank;
     pull_in_progress_.reset();
     const bool complete = answer.available || answer.complete;
-    if (!complete || answer.at_revision < watch_.as_of() || answer.age < duration{})
+    if (!complete || !watch_.is_current(answer.era, answer.at_revision) || answer.age < duration{})
     {
         avoid(from, true, now);
         return answer_result::refused;
@@ -136,8 +136,9 @@
 {
     std::erase_if(pending_pulls_,
                   [&from](const pending_pull& pending) { return pending.from.instance == from.instance; });
-    const bool answer_after_next_read =
-        watch_.listed() && !source_unavailable_ && pull.known_revision >= watch_.as_of();
+    const source_era known_era = pull.known_era == source_era{} ? watch_.era() : pull.known_era;
+    const bool is_behind = !watch_.is_current(known_era, pull.known_revision);
+    const bool answer_after_next_read = watch_.listed() && !source_unavailable_ && !is_behind;
     if (answer_after_next_read)
     {
         pending_pulls_.push_back({from, pull});
--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -60,10 +60,18 @@
 bool store_watch::handle(store_page page)
 {
     consecutive_failures_ = 0;
+    const bool is_mixed = listing_in_progress_ && page.era != listing_era_;
+    if (is_mixed || page.era < era_)
+    {
+        // The next call begins the listing again.
+        listing_in_progress_ = false;
+        return false;
+    }
     if (!listing_in_progress_)
     {
         listing_in_progress_ = true;
         listing_as_of_ = page.at_revision;
+        listing_era_ = page.era;
     }
     for (store_item& item : page.items)
     {
@@ -82,11 +90,29 @@
 void store_watch::finish_listing()
 {
     listing_in_progress_ = false;
-    if (listing_as_of_ < as_of_)
+    if (!is_current(listing_era_, listing_as_of_))
     {
         // The listing is older than the local copy; it is discarded and a new listing follows.
         return;
     }
+    if (listing_era_ > era_)
+    {
+        replace_copy(std::move(listing_), listing_era_);
+        listing_.clear();
+    }
+    else
+    {
+        merge_listing();
+    }
+    as_of_ = listing_as_of_;
+    forget_removals(as_of_);
+    confirmed_ = std::max(confirmed_, listing_started_at_);
+    listed_ = true;
+    listing_needed_ = false;
+}
+
+void store_watch::merge_listing()
+{
     for (const auto& [key, item] : items_)
     {
         if (!listing_.contains(key))
@@ -104,17 +130,33 @@
     }
     items_ = std::move(listing_);
     listing_.clear();
-    as_of_ = listing_as_of_;
-    forget_removals(as_of_);
-    confirmed_ = std::max(confirmed_, listing_started_at_);
-    listed_ = true;
-    listing_needed_ = false;
+}
+
+void store_watch::replace_copy(std::map<std::string, store_item> items, source_era era)
+{
+    for (const auto* each : {&items_, &items})
+    {
+        for (const auto& [key, item] : *each)
+        {
+            changed_.push_back(key);
+        }
+    }
+    items_ = std::move(items);
+    compressed_.clear();
+    removals_.clear();
+    removals_known_since_ = revision{};
+    era_ = era;
 }
 
 void store_watch::handle(const store_changes& answer)
 {
     consecutive_failures_ = 0;
-    if (answer.at_revision < as_of_)
+    if (answer.era > era_)
+    {
+        restart_listing();
+        return;
+    }
+    if (!is_current(answer.era, answer.at_revision))
     {
         return;
     }
@@ -128,10 +170,14 @@
 
 bool store_watch::apply_relayed(const source_answer& answer, time_point requested_at)
 {
-    if (answer.at_revision < as_of_)
+    if (!is_current(answer.era, answer.at_revision))
     {
         return true;
     }
+    if (answer.era > era_ && !answer.lists_all)
+    {
+        return false;
+    }
     std::vector<source_change> changes = answer.changes;
     for (source_change& change : changes)
     {
@@ -145,13 +191,28 @@
             change.value = std::move(value).value();
         }
     }
-    for (const source_change& change : changes)
+    if (answer.era > era_)
     {
-        apply(change);
+        std::map<std::string, store_item> items;
+        for (source_change& change : changes)
+        {
+            std::string key = change.key;
+            items.insert_or_assign(std::move(key),
+                                   store_item{std::move(change.key), std::move(change.value), change.changed});
+        }
+        replace_copy(std::move(items), answer.era);
+        forget_removals(answer.at_revision);
     }
-    if (answer.lists_all)
+    else
     {
-        remove_unlisted(answer);
+        for (const source_change& change : changes)
+        {
+            apply(change);
+        }
+        if (answer.lists_all)
+        {
+            remove_unlisted(answer);
+        }
     }
     as_of_ = answer.at_revision;
     confirmed_ = std::max(confirmed_, requested_at - answer.age);
@@ -196,12 +257,19 @@
 
 source_answer store_watch::answer_to(const source_pull& pull, time_point now)
 {
+    // Instances of earlier releases do not state their era.
+    const source_era known_era = pull.known_era == source_era{} ? era_ : pull.known_era;
+    if (known_era < era_)
+    {
+        return whole_answer(pull, now);
+    }
     const revision after = pull.known_revision;
     source_answer answer;
     answer.pull_number = pull.pull_number;
     answer.at_revision = as_of_;
+    answer.era = era_;
     answer.lists_all = after < removals_known_since_;
-    answer.available = listed_ && after <= as_of_ && (!answer.lists_all || pull.accepts_listing);
+    answer.available = listed_ && known_era == era_ && after <= as_of_ && (!answer.lists_all || pull.accepts_listing);
     answer.complete = answer.available;
     if (!answer.complete)
     {
@@ -229,6 +297,26 @@
     return answer;
 }
 
+source_answer store_watch::whole_answer(const source_pull& pull, time_point now)
+{
+    source_answer answer;
+    answer.pull_number = pull.pull_number;
+    answer.at_revision = as_of_;
+    answer.era = era_;
+    answer.lists_all = true;
+    answer.available = listed_ && pull.accepts_listing;
+    answer.complete = answer.available;
+    if (answer.complete)
+    {
+        answer.age = now - confirmed_;
+        for (const auto& [key, item] : items_)
+        {
+            answer.changes.push_back(change_of(item, pull.accepts_compressed));
+        }
+    }
+    return answer;
+}
+
 void store_watch::apply(const source_change& change)
 {
     const auto existing = items_.find(change.key);
--- a/libs/configuration/tests/store_watch_test.cpp
+++ b/libs/configuration/tests/store_watch_test.cpp
@@ -287,3 +287,82 @@
                                      RC_ASSERT(watch_copy.items() == store);
                                  });
 }
+
+// Guards against a local copy that differs from the store after any sequence of changes and returns from older copies.
+TEST(store_watch, matches_the_store_across_eras)
+{
+    test_support::check_property("the local copy equals the store in its last era",
+                                 [](const std::vector<std::uint8_t>& steps)
+                                 {
+                                     struct saved_state
+                                     {
+                                         std::map<std::string, store_item> items;
+                                         std::vector<store_change> history;
+                                         std::uint64_t revision = 1;
+                                     };
+                                     store_watch copy{store_watch_settings{}, 1};
+                                     saved_state store;
+                                     saved_state backup;
+                                     std::uint64_t era = 1;
+                                     const auto answer = [&]
+                                     {
+                                         const store_call call = copy.next(start);
+                                         if (call.what == store_call::kind::list)
+                                         {
+                                             const auto next = store.items.upper_bound(call.after_key);
+                                             store_page answered = page({}, store.revision, false, era);
+                                             if (next != store.items.end())
+                                             {
+                                                 answered.items.push_back(next->second);
+                                                 answered.more = std::next(next) != store.items.end();
+                                             }
+                                             copy.handle(std::move(answered));
+                                             return;
+                                         }
+                                         if (call.after > revision{store.revision})
+                                         {
+                                             copy.restart_listing();
+                                             return;
+                                         }
+                                         store_changes answered{{}, revision{store.revision}, source_era{era}};
+                                         for (const store_change& each : store.history)
+                                         {
+                                             if (each.changed > call.after)
+                                             {
+                                                 answered.changes.push_back(each);
+                                             }
+                                         }
+                                         copy.handle(answered);
+                                     };
+                                     for (const std::uint8_t step : steps)
+                                     {
+                                         const std::string key(1, static_cast<char>('a' + step % 5));
+                                         if (step % 4 == 0)
+                                         {
+                                             answer();
+                                         }
+                                         else if (step % 11 == 0)
+                                         {
+                                             backup = store;
+                                         }
+                                         else if (step % 13 == 0)
+                                         {
+                                             store = backup;
+                                             ++era;
+                                         }
+                                         else
+                                         {
+                                             ++store.revision;
+                                             const std::string value =
+                                                 std::to_string(era) + "/" + std::to_string(store.revision);
+                                             store.items[key] = item(key, value, store.revision);
+                                             store.history.push_back({key, value, revision{store.revision}});
+                                         }
+                                     }
+                                     for (int remaining_call = 0; remaining_call < 20; ++remaining_call)
+                                     {
+                                         answer();
+                                     }
+                                     RC_ASSERT(copy.items() == store.items);
+                                 });
+}
--- a/libs/decision_core/src/forward_manager.cpp
+++ b/libs/decision_core/src/forward_manager.cpp
@@ -21,7 +21,16 @@
 
 bool forward_manager::configure(const forwarding_configuration& configuration)
 {
-    if (routes_ && configuration.version <= routes_->configuration().version)
+    const std::int64_t version_in_force = routes_ ? routes_->configuration().version : configuration.version;
+    source_lost_version_ = configuration.version < version_in_force;
+    if (source_lost_version_)
+    {
+        state_.log(log_event::configuration_rejected,
+                   "version=" + std::to_string(configuration.version) + " is older than " +
+                       std::to_string(version_in_force) +
+                       ", which stays in force but is not confirmed; write the configuration again");
+    }
+    if (routes_ && configuration.version <= version_in_force)
     {
         return false;
     }
@@ -54,6 +63,10 @@
 
 void forward_manager::confirm(time_point as_of)
 {
+    if (source_lost_version_)
+    {
+        return;
+    }
     confirmed_at_ = std::max(confirmed_at_, as_of);
     for (const auto& [request, active] : active_)
     {
--- a/libs/decision_core/src/forward_manager.hpp
+++ b/libs/decision_core/src/forward_manager.hpp
@@ -91,6 +91,8 @@
     std::optional<route_index> routes_;
     /// Latest time at which the configuration in force was confirmed as the newest.
     time_point confirmed_at_ = time_point::min();
+    /// The configuration service holds an older version than the one in force.
+    bool source_lost_version_ = false;
     time_point last_arrival_;
     time_point refuse_streams_from_ = never;
     time_point refuse_all_from_ = never;
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
@@ -100,7 +100,7 @@
 /// @brief The protocol of a key-value store that is listed and watched. It only translates; store_watch decides.
 template <class P>
 concept store_protocol = requires(const P& protocol, std::string_view after_key, revision after, duration wait,
-                                  std::string_view body, const store_item& item)
+                                  std::string_view body, const store_item& item, const response_head& head)
 {
     // Make the targets of HTTP requests: a page of the listing, and a watch that waits for changes.
     {
@@ -115,6 +115,10 @@
     {
         protocol.read_changes(body)
         } -> std::same_as<result<store_changes>>;
+    // Decodes the era that the head of each response states; 0 when it states none.
+    {
+        protocol.read_era(head)
+        } -> std::same_as<result<source_era>>;
     // Returns true for the status of a watch whose start revision the store no longer has.
     {
         protocol.is_history_dropped(unsigned{})
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
@@ -296,6 +296,7 @@
                 [this](event what) { feed(std::move(what)); },
                 [this](const error& why) { on_item_rejected(why); },
                 [this](const store_read& read) { on_store_read(read); },
+                [this](source_era era, revision as_of) { on_era(era, as_of); },
                 [this](std::size_t bytes) { metrics_.count_relayed(bytes); },
                 [this]
                 {
@@ -347,6 +348,12 @@
             log_.write(log_level::warning, log_event::configuration_read_failed, detail);
         }
     }
+    void on_era(source_era era, revision as_of)
+    {
+        metrics_.set(level_quantity::current_source_era, static_cast<std::size_t>(era.value()));
+        log_.write(log_level::info, log_event::source_era_changed,
+                   "era=" + std::to_string(era.value()) + " revision=" + std::to_string(as_of.value()));
+    }
     void on_item_rejected(const error& why)
     {
         metrics_.count_malformed(input_source::platform, why.kind);
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -45,6 +45,8 @@
         std::function<void(const error&)> on_rejected;
         /// Called when a read from the store or from a peer has ended.
         std::function<void(const store_read&)> on_read;
+        /// Called when the items are those of another era than before, with that era and their revision.
+        std::function<void(source_era, revision)> on_era;
         /// Called with the size in bytes of each answer that passes items on to a peer.
         std::function<void(std::size_t)> on_relayed;
         /// Called after each batch of events.
@@ -135,7 +137,8 @@
     {
         current_read_ = store_read{};
         current_read_.source = source;
-        current_read_.request = std::move(request) + " after revision " + std::to_string(watch_.as_of().value());
+        current_read_.request = std::move(request) + " after revision " + std::to_string(watch_.as_of().value()) +
+                                " of era " + std::to_string(watch_.era().value());
         read_started_at_ = millisecond_clock::now();
     }
     void report_read(store_read_result result, std::size_t bytes, std::string reason = {})
@@ -233,7 +236,22 @@
             handle_failure(false);
             return;
         }
-        if (!(is_listing ? apply_page(answer) : apply_changes(answer)))
+        const auto era = era_of(answer);
+        if (era.has_error())
+        {
+            report_read(store_read_result::malformed, answer.body.size(), era.error().detail);
+            handle_failure(false);
+            return;
+        }
+        if (!is_listing && era.value() > watch_.era())
+        {
+            report_read(store_read_result::refused, answer.body.size(),
+                        "the store has come back from a copy, in era " + std::to_string(era.value().value()));
+            watch_.restart_listing();
+            request_next();
+            return;
+        }
+        if (!(is_listing ? apply_page(answer, era.value()) : apply_changes(answer, era.value())))
         {
             report_read(store_read_result::malformed, answer.body.size());
             handle_failure(true);
@@ -244,7 +262,20 @@
         publish(true);
         request_next();
     }
-    bool apply_page(const http_answer& response)
+    /// Decodes the era of a response. @return error invalid_field, also for an era before that of the local copy
+    result<source_era> era_of(const http_answer& response) const
+    {
+        BOOST_OUTCOME_TRY(const source_era era, protocol_.read_era(response.head));
+        if (era < watch_.era())
+        {
+            return make_error(error_kind::invalid_field,
+                              "the response is of era " + std::to_string(era.value()) + ", but the copy of era " +
+                                  std::to_string(watch_.era().value()) +
+                                  "; an era never goes back, check what answers for the store");
+        }
+        return era;
+    }
+    bool apply_page(const http_answer& response, source_era era)
     {
         auto page = protocol_.read_page(response.body);
         if (page.has_error())
@@ -252,17 +283,19 @@
             callbacks_.on_rejected(page.error());
             return false;
         }
+        page.value().era = era;
         watch_.handle(std::move(page).value());
         return true;
     }
-    bool apply_changes(const http_answer& response)
+    bool apply_changes(const http_answer& response, source_era era)
     {
-        const auto changes = protocol_.read_changes(response.body);
+        auto changes = protocol_.read_changes(response.body);
         if (changes.has_error())
         {
             callbacks_.on_rejected(changes.error());
             return false;
         }
+        changes.value().era = era;
         watch_.handle(changes.value());
         return true;
     }
@@ -294,6 +327,16 @@
     /// @param confirmed whether the items are proved to be the latest
     void publish(bool confirmed)
     {
+        if (watch_.era() != published_era_)
+        {
+            callbacks_.on_era(watch_.era(), watch_.as_of());
+            if (published_era_ != source_era{})
+            {
+                // Endpoints that registered after the copy was made are missing until they register again.
+                callbacks_.feed(configuration_unavailable{});
+            }
+            published_era_ = watch_.era();
+        }
         bool endpoints_changed = false;
         for (const std::string& key : watch_.take_changed())
         {
@@ -376,6 +419,8 @@
     steady_timer pull_timer_;
     /// Time of the last configuration_confirmed event.
     time_point last_confirmed_ = time_point::min();
+    /// Era of the items that were last fed to the core.
+    source_era published_era_;
     std::map<std::string, listed_instance> endpoints_;
     /// The read in progress.
     store_read current_read_;
--- a/libs/messages/include/parsleyshift/messages/action.hpp
+++ b/libs/messages/include/parsleyshift/messages/action.hpp
@@ -281,6 +281,8 @@
     configuration_read,
     /// A read of the configuration service failed.
     configuration_read_failed,
+    /// The items of the configuration service are those of another era.
+    source_era_changed,
 };
 
 template <>
@@ -308,7 +310,8 @@
         enum_name<log_event>{log_event::dependency_regained, "dependency_regained"},
         enum_name<log_event>{log_event::settings_reloaded, "settings_reloaded"},
         enum_name<log_event>{log_event::configuration_read, "configuration_read"},
-        enum_name<log_event>{log_event::configuration_read_failed, "configuration_read_failed"}};
+        enum_name<log_event>{log_event::configuration_read_failed, "configuration_read_failed"},
+        enum_name<log_event>{log_event::source_era_changed, "source_era_changed"}};
 };
 
 /// Write a line to the structured log.
--- a/libs/runtime/include/parsleyshift/runtime/http_client.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_client.hpp
@@ -89,6 +89,7 @@
 {
     unsigned status = 0;
     std::string body;
+    response_head head{};
 };
 
 /// @brief Reason why no complete response was received.
--- a/libs/runtime/include/parsleyshift/runtime/metrics.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/metrics.hpp
@@ -46,6 +46,8 @@
     ring_to_platform,
     /// Total since the start; never decreases.
     log_lines_dropped,
+    /// Era of the configuration service.
+    current_source_era,
 };
 
 template <>
@@ -63,7 +65,8 @@
         enum_name<level_quantity>{level_quantity::ring_to_endpoints, "ring_to_endpoints"},
         enum_name<level_quantity>{level_quantity::ring_to_peers, "ring_to_peers"},
         enum_name<level_quantity>{level_quantity::ring_to_platform, "ring_to_platform"},
-        enum_name<level_quantity>{level_quantity::log_lines_dropped, "log_lines_dropped"}};
+        enum_name<level_quantity>{level_quantity::log_lines_dropped, "log_lines_dropped"},
+        enum_name<level_quantity>{level_quantity::current_source_era, "source_era"}};
 };
 
 /// @brief Metrics of the process, exported in the text format of Prometheus. Members may be called on any thread
--- a/libs/runtime/src/http_client.cpp
+++ b/libs/runtime/src/http_client.cpp
@@ -22,6 +22,7 @@
     bool on_head(const response_head& head) override
     {
         response_.status = head.result_int();
+        response_.head = head;
         return true;
     }
     bool on_body(std::string& body) override
