Keep to the listing that a cut-off watch needs when a peer brings nothing newer

Cause: after a watch whose response was too large, the next read must be a listing. An answer of a peer in between, without newer changes and without confirming that there are none, cancelled that, and the same watch was cut off again.

Change: only an answer that brings changes, or confirms the copy, replaces the listing. still_lists_the_store_after_an_answer_that_brings_nothing fails without it.

--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -178,6 +178,7 @@
     {
         return false;
     }
+    const bool brings_changes = answer.era > era_ || answer.at_revision > as_of_;
     std::vector<source_change> changes = answer.changes;
     for (source_change& change : changes)
     {
@@ -216,8 +217,11 @@
     }
     as_of_ = answer.at_revision;
     confirmed_ = std::max(confirmed_, requested_at - answer.age);
-    listing_needed_ = false;
-    listing_in_progress_ = false;
+    if (brings_changes || answer.available)
+    {
+        listing_needed_ = false;
+        listing_in_progress_ = false;
+    }
     return true;
 }
 
--- a/libs/configuration/tests/source_relay_test.cpp
+++ b/libs/configuration/tests/source_relay_test.cpp
@@ -178,6 +178,19 @@
     STRCMP_EQUAL("kept", follower_watch.items().at("a").value.c_str());
 }
 
+// Guards against a watch that is cut off again, for its size, because a peer that is no newer answered in between.
+TEST(source_relay, still_lists_the_store_after_an_answer_that_brings_nothing)
+{
+    list_both();
+    follower_watch.record_failure(true);
+    reader_relay.record_failed_read(now + 1_s);
+    const auto answers = reader_relay.handle_pull(follower, pull(), now);
+    LONGS_EQUAL(1, answers.size());
+    CHECK(follower_relay.handle_answer(reader.instance, answers.front(), now) ==
+          source_relay::answer_result::unconfirmed);
+    CHECK(follower_watch.next(now).what == store_call::kind::list);
+}
+
 // Guards against a change that the reader already has and that reaches a follower only after the reader's next watch.
 TEST(source_relay, answers_at_once_when_the_follower_is_behind)
 {
