Name things for newcomers, and tell a refused probe by its error

A probe counted each failure to connect within its time as a refusal, also that of an instance without a route. It is a refusal only when the peer refuses. core_state::part_deaths is called blocked_parts, the tests of broken streams and of stopped runs share their setup, and fields of messages say what they hold. No check is changed.

--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -112,7 +112,7 @@
 {
     attempts.erase(attempt);
     ledger.record_end(endpoint, memory, now);
-    part_deaths.run_ended(attempt, end, now);
+    blocked_parts.run_ended(attempt, end, now);
     if (const auto notice = quarantine.run_ended(attempt, end, now))
     {
         send_quarantine_notices({*notice});
@@ -145,8 +145,8 @@
                                                 " was running at the death of " + endpoint.value());
     }
     send_quarantine_notices(notices);
-    send_quarantine_notices(part_deaths.endpoint_died(endpoint, now));
-    part_deaths_added = true;
+    send_quarantine_notices(blocked_parts.endpoint_died(endpoint, now));
+    blocked_parts_changed = true;
 }
 
 void core_state::probe(const endpoint_id& endpoint, const std::string& address)
@@ -167,7 +167,7 @@
     else if (probed.result == probe_result::alive)
     {
         quarantine.endpoint_survived(probed.endpoint);
-        part_deaths.endpoint_survived(probed.endpoint);
+        blocked_parts.endpoint_survived(probed.endpoint);
     }
 }
 
@@ -181,16 +181,16 @@
         }
         return;
     }
-    if (const auto merged = part_deaths.merge(notice, now))
+    if (const auto merged = blocked_parts.merge(notice, now))
     {
-        part_deaths_added = true;
+        blocked_parts_changed = true;
         send_quarantine_notices({*merged});
     }
 }
 
 bool core_state::may_try(fingerprint part) const
 {
-    if (part_deaths.has_run(part))
+    if (blocked_parts.has_run(part))
     {
         return false;
     }
@@ -218,7 +218,7 @@
     {
         return;
     }
-    for (const auto& notice : part_deaths.notices(max_synchronized_notices, now))
+    for (const auto& notice : blocked_parts.notices(max_synchronized_notices, now))
     {
         send(peer.instance, peer.peer_address, notice);
     }
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -104,9 +104,10 @@
     endpoint_chooser chooser;
     budgeted_retry retry;
     crash_quarantine quarantine;
-    part_quarantine part_deaths;
-    /// Part deaths were added since the requests in progress were last compared with them.
-    bool part_deaths_added = false;
+    /// Parts of prompts that crash engines.
+    part_quarantine blocked_parts;
+    /// Deaths were recorded there that the requests in progress have not been checked against.
+    bool blocked_parts_changed = false;
     customer_limits limits;
     length_estimator lengths;
     entry_selector entries;
--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -69,7 +69,7 @@
         reject(state_.quarantine.rejection(fingerprint_, state_.now));
         return;
     }
-    const part_verdict verdict = state_.part_deaths.verdict_of(parts_, state_.now);
+    const part_verdict verdict = state_.blocked_parts.verdict_of(parts_, state_.now);
     const bool is_trial = verdict.state == part_state::on_trial && state_.may_try(verdict.part);
     if (verdict.state != part_state::clear && !is_trial)
     {
@@ -90,7 +90,7 @@
 
 void forwarded_request::reject_if_blocked()
 {
-    const part_verdict verdict = state_.part_deaths.verdict_of(parts_, state_.now);
+    const part_verdict verdict = state_.blocked_parts.verdict_of(parts_, state_.now);
     if (event_count_ == 0 && verdict.state == part_state::blocked)
     {
         reject_for_part(verdict);
@@ -222,7 +222,7 @@
     state_.quarantine.run_started(attempt_, fingerprint_, endpoint_);
     if (event_count_ == 0)
     {
-        state_.part_deaths.run_started(attempt_, parts_, endpoint_);
+        state_.blocked_parts.run_started(attempt_, parts_, endpoint_);
     }
     if (permit_)
     {
@@ -450,7 +450,7 @@
         state_.health.record_token_gap(endpoint_, gap, state_.now);
         state_.emit(record_sample{histogram::token_gap_ms, admission_.work_class, admission_.customer, gap.count()});
     }
-    state_.send_quarantine_notices(state_.part_deaths.answer_began(attempt_, state_.now));
+    state_.send_quarantine_notices(state_.blocked_parts.answer_began(attempt_, state_.now));
     event_count_ = events;
     last_event_at_ = state_.now;
     last_progress_at_ = state_.now;
@@ -461,7 +461,7 @@
 {
     if (completed.events > 0)
     {
-        state_.send_quarantine_notices(state_.part_deaths.answer_began(attempt_, state_.now));
+        state_.send_quarantine_notices(state_.blocked_parts.answer_began(attempt_, state_.now));
     }
     event_count_ = completed.events;
     if (move_ && move_->stop_requested && completed.end == answer_end::connection_closed)
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -430,7 +430,7 @@
         {
             forwards_.on_schedulers_changed();
         }
-        if (std::exchange(state_.part_deaths_added, false))
+        if (std::exchange(state_.blocked_parts_changed, false))
         {
             forwards_.reject_blocked();
         }
@@ -473,7 +473,7 @@
         if (next_purge_ <= state_.now)
         {
             state_.quarantine.purge(state_.now);
-            state_.part_deaths.purge(state_.now);
+            state_.blocked_parts.purge(state_.now);
             state_.reported_health.purge(state_.now);
             next_purge_ = state_.now + purge_interval;
         }
--- a/libs/decision_core/tests/forwarding_moves_test.cpp
+++ b/libs/decision_core/tests/forwarding_moves_test.cpp
@@ -9,7 +9,28 @@
 using namespace parsleyshift::literals;
 using namespace parsleyshift::test;
 
-TEST_GROUP_BASE(forwarding_moves, core_fixture){};
+namespace
+{
+
+struct move_fixture : public core_fixture
+{
+    /// Starts a stream whose run is told to stop, and whose connection closes after five events.
+    request_id stop_run_of_unframed_stream()
+    {
+        core.configure();
+        const request_id request = core.send_request("/stream/1");
+        const start_forward first = *core.last_start(request);
+        core.feed(forward_answered{first.attempt, answer_sign::success, false});
+        list_as_leaving(first.endpoint);
+        core.feed(run_copied{first.attempt, copy_result::complete, "h1", 0});
+        core.feed(forward_completed{first.attempt, 5, answer_end::connection_closed});
+        return request;
+    }
+};
+
+} // namespace
+
+TEST_GROUP_BASE(forwarding_moves, move_fixture){};
 
 // Guards against a run that is lost with its leaving engine, continues at two engines, or is resumed before its last
 // events have arrived.
@@ -80,13 +101,8 @@
 // Guards against a stream that is ended as complete because its engine closed it to stop the run.
 TEST(forwarding_moves, resumes_a_stopped_run_whose_unframed_stream_was_closed)
 {
-    core.configure();
-    const request_id request = core.send_request("/stream/1");
+    const request_id request = stop_run_of_unframed_stream();
     const start_forward first = *core.last_start(request);
-    core.feed(forward_answered{first.attempt, answer_sign::success, false});
-    list_as_leaving(first.endpoint);
-    core.feed(run_copied{first.attempt, copy_result::complete, "h1", 0});
-    core.feed(forward_completed{first.attempt, 5, answer_end::connection_closed});
     LONGS_EQUAL(1, core.delivered.size());
     core.feed(run_copied{first.attempt, copy_result::complete, "h2", 5});
     LONGS_EQUAL(2, core.start_count(request));
@@ -96,13 +112,8 @@
 // Guards against a complete stream that is rejected because its run was to be stopped when it ended.
 TEST(forwarding_moves, completes_an_unframed_stream_whose_run_had_ended_before_the_stop)
 {
-    core.configure();
-    const request_id request = core.send_request("/stream/1");
+    const request_id request = stop_run_of_unframed_stream();
     const start_forward first = *core.last_start(request);
-    core.feed(forward_answered{first.attempt, answer_sign::success, false});
-    list_as_leaving(first.endpoint);
-    core.feed(run_copied{first.attempt, copy_result::complete, "h1", 0});
-    core.feed(forward_completed{first.attempt, 5, answer_end::connection_closed});
     core.feed(run_copied{first.attempt, copy_result::refused, {}, 0});
     LONGS_EQUAL(2, core.delivered.size());
     POINTERS_EQUAL(nullptr, core.rejection(request));
@@ -111,13 +122,8 @@
 // Guards against a stream that is ended as complete although its run may have been stopped.
 TEST(forwarding_moves, rejects_a_closed_unframed_stream_whose_run_may_have_stopped)
 {
-    core.configure();
-    const request_id request = core.send_request("/stream/1");
+    const request_id request = stop_run_of_unframed_stream();
     const start_forward first = *core.last_start(request);
-    core.feed(forward_answered{first.attempt, answer_sign::success, false});
-    list_as_leaving(first.endpoint);
-    core.feed(run_copied{first.attempt, copy_result::complete, "h1", 0});
-    core.feed(forward_completed{first.attempt, 5, answer_end::connection_closed});
     core.feed(run_copied{first.attempt, copy_result::unknown, {}, 0});
     LONGS_EQUAL(1, core.delivered.size());
     CHECK(core.dropped == std::vector<attempt_id>{first.attempt});
--- a/libs/forwarding/include/parsleyshift/forwarding/load_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/load_reader.hpp
@@ -52,16 +52,9 @@
     /// @brief Requests one report of an endpoint, to find out whether its process runs; endpoint_probed follows.
     void handle(const probe_endpoint& probe)
     {
-        const time_point started = millisecond_clock::now();
         client_.start(report_request(probe.address),
-                      [this, endpoint = probe.endpoint, started](const http_result& received)
-                      {
-                          // A connection attempt that times out fails in the same way, but later.
-                          const bool is_refused = received.has_error() &&
-                                                  received.error().failure == attempt_failure::connect_failed &&
-                                                  millisecond_clock::now() < started + response_timeout;
-                          const auto otherwise = is_refused ? probe_result::refused : probe_result::unknown;
-                          feed_(endpoint_probed{endpoint, received.has_value() ? probe_result::alive : otherwise});
+                      [this, endpoint = probe.endpoint](const http_result& received) {
+                          feed_(endpoint_probed{endpoint, result_of(received)});
                       });
     }
     /// @brief Stops all polling; no events follow.
@@ -80,6 +73,16 @@
     static constexpr duration response_timeout{600};
     static constexpr std::size_t max_report_bytes = std::size_t{256} * 1024;
 
+    /// Other failures to connect, like a time-out or a missing route, do not tell whether the process runs.
+    static probe_result result_of(const http_result& received)
+    {
+        static const std::string refusal = make_error_code(asio::error::connection_refused).message();
+        if (received.has_value())
+        {
+            return probe_result::alive;
+        }
+        return received.error().message == refusal ? probe_result::refused : probe_result::unknown;
+    }
     static http_client_options client_options(std::function<void()> batch_done)
     {
         http_client_options options;
--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -151,6 +151,17 @@
 /// Head of a stream that has neither a length nor chunks and ends when its connection is closed.
 const std::string unframed_stream_head = "HTTP/1.1 200 OK\r\nx-id: 5\r\nContent-Type: text/event-stream\r\n\r\n";
 
+/// Checks that the caller of a stream gets the event 1 and then the end of the connection, without a last chunk.
+void expect_first_event_only(const scripted_server& endpoint)
+{
+    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::stream));
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    caller.read_until("\r\n\r\n");
+    STRCMP_EQUAL("id: 1\ndata: a\n\n", caller.read_chunk().c_str());
+    STRCMP_EQUAL("", caller.read_all().c_str());
+}
+
 std::string status_of(const std::string& response)
 {
     return response.substr(9, 3);
@@ -232,12 +243,7 @@
             from.send(stream_head);
             from.send_chunk("id: 1\ndata: a\n\nid: 2\nda");
         });
-    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::stream));
-    client caller(forwarder.port());
-    caller.send(request_text_of_caller);
-    caller.read_until("\r\n\r\n");
-    STRCMP_EQUAL("id: 1\ndata: a\n\n", caller.read_chunk().c_str());
-    STRCMP_EQUAL("", caller.read_all().c_str());
+    expect_first_event_only(endpoint);
 }
 
 // Guards against a stream without framing that reaches the caller as complete although it ends inside an event.
@@ -249,12 +255,7 @@
             from.request();
             from.send(unframed_stream_head + "id: 1\ndata: a\n\nid: 2\nda");
         });
-    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::stream));
-    client caller(forwarder.port());
-    caller.send(request_text_of_caller);
-    caller.read_until("\r\n\r\n");
-    STRCMP_EQUAL("id: 1\ndata: a\n\n", caller.read_chunk().c_str());
-    STRCMP_EQUAL("", caller.read_all().c_str());
+    expect_first_event_only(endpoint);
 }
 
 // Guards against a stream whose last chunk has arrived but whose last event has not, and that looks complete.
@@ -268,12 +269,7 @@
             from.send_chunk("id: 1\ndata: a\n\nid: 2\nda");
             from.end_chunked();
         });
-    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::stream));
-    client caller(forwarder.port());
-    caller.send(request_text_of_caller);
-    caller.read_until("\r\n\r\n");
-    STRCMP_EQUAL("id: 1\ndata: a\n\n", caller.read_chunk().c_str());
-    STRCMP_EQUAL("", caller.read_all().c_str());
+    expect_first_event_only(endpoint);
 }
 
 // Guards against an empty stream that reaches the caller as complete, from an endpoint that failed before its first
--- a/libs/messages/include/parsleyshift/messages/store.hpp
+++ b/libs/messages/include/parsleyshift/messages/store.hpp
@@ -35,6 +35,7 @@
     bool more = false;
     /// Revision of the configuration service when the page was read.
     revision at_revision;
+    /// Era of all revisions in this message.
     source_era era{};
 };
 
@@ -52,6 +53,7 @@
     std::vector<store_change> changes;
     /// Revision up to which the changes are complete.
     revision at_revision;
+    /// Era of all revisions in this message.
     source_era era{};
 };
 
--- a/libs/runtime/include/parsleyshift/runtime/http_client.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_client.hpp
@@ -89,6 +89,7 @@
 {
     unsigned status = 0;
     std::string body;
+    /// Status line and header fields.
     response_head head{};
 };
 
