--- a/libs/configuration/tests/configuration_spread_test.cpp
+++ b/libs/configuration/tests/configuration_spread_test.cpp
@@ -180,6 +180,39 @@
     CHECK(longest_age < freshness_lease);
 }
 
+// Guards against instances that keep what a store has lost, or miss what was written since, after it came back from a
+// copy twice in series, whether they read it themselves or follow others.
+TEST(configuration_spread, a_store_that_comes_back_from_a_copy_is_followed_in_time)
+{
+    for (const bool half_is_refused : {false, true})
+    {
+        simulated_region region{links, {}};
+        settle(region);
+        for (std::size_t index = 0; index < region_shape{}.instances; index += 2)
+        {
+            region.set_refused(index, half_is_refused);
+        }
+        for (int times = 0; times < 2; ++times)
+        {
+            region.copy_store();
+            write_series(region, 20, large_configuration);
+            region.set_store_silent(true);
+            run(region, 500_ms);
+            region.restore_store();
+            region.set_store_silent(false);
+            // The revisions of the era before say nothing about the new one.
+            confirmed.clear();
+            run(region, 300_ms);
+            region.write("configuration", configuration_text(99, large_configuration));
+            links.run_until(links.now() + application_bound);
+            for (std::size_t index = 0; index < region_shape{}.instances; ++index)
+            {
+                CHECK_TRUE(region.matches_store(index));
+            }
+        }
+    }
+}
+
 // Guards against instances that start together and never complete a listing, since all of them share the link.
 TEST(configuration_spread, a_region_that_starts_at_once_gets_the_largest_configuration)
 {
--- a/libs/configuration/tests/simulated_region.hpp
+++ b/libs/configuration/tests/simulated_region.hpp
@@ -69,6 +69,31 @@
             }
         }
     }
+    /// @brief Makes a copy of the store.
+    void copy_store()
+    {
+        copied_items_ = items_;
+        copied_history_ = history_;
+        copied_revision_ = store_revision_;
+    }
+    /// @brief Replaces the store by its copy, in a new era.
+    void restore_store()
+    {
+        items_ = copied_items_;
+        history_ = copied_history_;
+        store_revision_ = copied_revision_;
+        ++era_;
+        for (const auto& each : nodes_)
+        {
+            // The watches of the store before end without an answer.
+            each->watch_pending = false;
+        }
+    }
+    /// @brief Returns true when the local copy of an instance equals the store.
+    [[nodiscard]] bool matches_store(std::size_t index) const
+    {
+        return nodes_[index]->watch.items() == items_ && nodes_[index]->watch.era() == source_era{era_};
+    }
     /// @brief Sets whether the store answers; calls to a silent store end at their timeout.
     void set_store_silent(bool silent)
     {
@@ -312,6 +337,7 @@
     {
         store_page page;
         page.at_revision = revision{store_revision_};
+        page.era = source_era{era_};
         std::size_t bytes = 0;
         for (const auto& [key, item] : items_)
         {
@@ -325,6 +351,12 @@
         each.watch_pending = false;
         store_changes changes;
         changes.at_revision = revision{store_revision_};
+        changes.era = source_era{era_};
+        if (each.call.after > revision{store_revision_})
+        {
+            respond(each, 0, [&each] { each.watch.restart_listing(); });
+            return;
+        }
         std::size_t bytes = 0;
         for (const recorded_change& kept : history_)
         {
@@ -380,6 +412,10 @@
     std::vector<recorded_change> history_;
     std::map<std::string, store_item> items_;
     std::uint64_t store_revision_ = 10;
+    std::uint64_t era_ = 1;
+    std::vector<recorded_change> copied_history_;
+    std::map<std::string, store_item> copied_items_;
+    std::uint64_t copied_revision_ = 0;
     std::size_t store_calls_ = 0;
     bool store_silent_ = false;
 };
