--- a/libs/configuration/tests/configuration_spread_test.cpp
+++ b/libs/configuration/tests/configuration_spread_test.cpp
@@ -105,6 +105,25 @@
             check_applied(region, instances);
         }
     }
+    /// Lets the store lose two seconds of changes, and checks that all instances follow it.
+    void lose_changes(simulated_region & region)
+    {
+        region.copy_store();
+        write_series(region, 20, large_configuration);
+        region.set_store_silent(true);
+        run(region, 500_ms);
+        region.restore_store();
+        region.set_store_silent(false);
+        // The revisions of the era before say nothing about the new one.
+        confirmed.clear();
+        run(region, 300_ms);
+        region.write("configuration", configuration_text(99, large_configuration));
+        links.run_until(links.now() + application_bound);
+        for (std::size_t index = 0; index < region_shape{}.instances; ++index)
+        {
+            CHECK_TRUE(region.matches_store(index));
+        }
+    }
     /// Checks that each change confirmed longer ago than the bound is in force everywhere.
     void check_applied(const simulated_region& region, std::size_t instances)
     {
@@ -180,37 +199,64 @@
     CHECK(longest_age < freshness_lease);
 }
 
+// Guards against a configuration that grows far beyond its size before and meets a store that refuses half of the
+// calls.
+TEST(configuration_spread, a_configuration_that_grows_is_in_force_in_time_while_the_store_refuses_half_of_the_calls)
+{
+    simulated_region region{links, {}};
+    settle(region);
+    region.set_refusals(0.5);
+    run(region, 3'000_ms);
+    write(region, very_large_configuration);
+    run(region, 20'000_ms);
+    CHECK(longest_age < freshness_lease);
+}
+
+// Guards against a configuration that grows far beyond its size before and meets a store whose answers take long.
+TEST(configuration_spread, a_configuration_that_grows_is_in_force_in_time_while_the_store_is_slow)
+{
+    simulated_region region{links, {}};
+    settle(region);
+    region.set_store_delay(300_ms);
+    run(region, 2'000_ms);
+    write(region, very_large_configuration);
+    run(region, 20'000_ms);
+    CHECK(longest_age < freshness_lease);
+}
+
+// The same with answers that take longer than the first time-out of a call.
+TEST(configuration_spread, a_configuration_that_grows_is_in_force_in_time_while_the_store_is_very_slow)
+{
+    simulated_region region{links, {}};
+    settle(region);
+    region.set_store_delay(400_ms);
+    run(region, 2'000_ms);
+    write(region, very_large_configuration);
+    run(region, 20'000_ms);
+    CHECK(longest_age < freshness_lease);
+}
+
 // Guards against instances that keep what a store has lost, or miss what was written since, after it came back from a
-// copy twice in series, whether they read it themselves or follow others.
+// copy twice in series.
 TEST(configuration_spread, a_store_that_comes_back_from_a_copy_is_followed_in_time)
 {
-    for (const bool half_is_refused : {false, true})
+    simulated_region region{links, {}};
+    settle(region);
+    lose_changes(region);
+    lose_changes(region);
+}
+
+// Guards against the same at instances that follow others, since the store refuses their calls.
+TEST(configuration_spread, a_store_that_comes_back_from_a_copy_is_followed_by_instances_that_it_refuses)
+{
+    simulated_region region{links, {}};
+    settle(region);
+    for (std::size_t index = 0; index < region_shape{}.instances; index += 2)
     {
-        simulated_region region{links, {}};
-        settle(region);
-        for (std::size_t index = 0; index < region_shape{}.instances; index += 2)
-        {
-            region.set_refused(index, half_is_refused);
-        }
-        for (int times = 0; times < 2; ++times)
-        {
-            region.copy_store();
-            write_series(region, 20, large_configuration);
-            region.set_store_silent(true);
-            run(region, 500_ms);
-            region.restore_store();
-            region.set_store_silent(false);
-            // The revisions of the era before say nothing about the new one.
-            confirmed.clear();
-            run(region, 300_ms);
-            region.write("configuration", configuration_text(99, large_configuration));
-            links.run_until(links.now() + application_bound);
-            for (std::size_t index = 0; index < region_shape{}.instances; ++index)
-            {
-                CHECK_TRUE(region.matches_store(index));
-            }
-        }
+        region.set_refused(index, true);
     }
+    lose_changes(region);
+    lose_changes(region);
 }
 
 // Guards against instances that start together and never complete a listing, since all of them share the link.
--- a/libs/configuration/tests/simulated_region.hpp
+++ b/libs/configuration/tests/simulated_region.hpp
@@ -3,6 +3,7 @@
 #include "simulated_links.hpp" // simulated_links
 
 #include <parsleyshift/configuration/source_relay.hpp> // source_relay
+#include <parsleyshift/core/random_source.hpp>         // random_source
 
 #include <algorithm> // min
 #include <cstddef>   // size_t
@@ -104,6 +105,16 @@
     {
         nodes_[index]->refused = refused;
     }
+    /// @brief Sets the probability with which the store refuses a call.
+    void set_refusals(double probability)
+    {
+        refusals_ = probability;
+    }
+    /// @brief Sets the time that the store takes for an answer.
+    void set_store_delay(duration delay)
+    {
+        shape_.store_delay = delay;
+    }
     /// @brief Stops an instance from answering and reading, as if its process had been suspended.
     void freeze(std::size_t index)
     {
@@ -288,7 +299,8 @@
                             {
                                 return;
                             }
-                            if (each.refused)
+                            const bool is_drawn = static_cast<double>(random_.index(1'000)) < refusals_ * 1'000;
+                            if (each.refused || is_drawn)
                             {
                                 links_.schedule(shape_.store_delay, [this, &each, number] { fail_call(each, number); });
                                 return;
@@ -412,6 +424,8 @@
     std::vector<recorded_change> history_;
     std::map<std::string, store_item> items_;
     std::uint64_t store_revision_ = 10;
+    random_source random_{7};
+    double refusals_ = 0.0;
     std::uint64_t era_ = 1;
     std::vector<recorded_change> copied_history_;
     std::map<std::string, store_item> copied_items_;
