--- a/libs/configuration/tests/configuration_spread_test.cpp
+++ b/libs/configuration/tests/configuration_spread_test.cpp
@@ -105,6 +105,15 @@
             check_applied(region, instances);
         }
     }
+    /// Writes a configuration many times as large as the one before, after a time, and checks that no copy gets too
+    /// old.
+    void grow(simulated_region & region, duration after)
+    {
+        run(region, after);
+        write(region, very_large_configuration);
+        run(region, 20'000_ms);
+        CHECK(longest_age < freshness_lease);
+    }
     /// Lets the store lose two seconds of changes, and checks that all instances follow it.
     void lose_changes(simulated_region & region)
     {
@@ -206,10 +215,7 @@
     simulated_region region{links, {}};
     settle(region);
     region.set_refusals(0.5);
-    run(region, 3'000_ms);
-    write(region, very_large_configuration);
-    run(region, 20'000_ms);
-    CHECK(longest_age < freshness_lease);
+    grow(region, 3'000_ms);
 }
 
 // Guards against a configuration that grows far beyond its size before and meets a store whose answers take long.
@@ -218,10 +224,7 @@
     simulated_region region{links, {}};
     settle(region);
     region.set_store_delay(300_ms);
-    run(region, 2'000_ms);
-    write(region, very_large_configuration);
-    run(region, 20'000_ms);
-    CHECK(longest_age < freshness_lease);
+    grow(region, 2'000_ms);
 }
 
 // The same with answers that take longer than the first time-out of a call.
@@ -230,10 +233,7 @@
     simulated_region region{links, {}};
     settle(region);
     region.set_store_delay(400_ms);
-    run(region, 2'000_ms);
-    write(region, very_large_configuration);
-    run(region, 20'000_ms);
-    CHECK(longest_age < freshness_lease);
+    grow(region, 2'000_ms);
 }
 
 // Guards against instances that keep what a store has lost, or miss what was written since, after it came back from a
--- /dev/null
+++ b/libs/decision_core/src/forwarded_request_moves.cpp
@@ -0,0 +1,111 @@
+// The members of forwarded_request that move a run to another engine.
+#include "forwarded_request.hpp" // forwarded_request
+
+#include <string>  // string, to_string
+#include <utility> // move
+
+namespace parsleyshift::detail
+{
+
+bool forwarded_request::can_move_to(const permit_grant& grant) const
+{
+    const endpoint_entry* entry = state_.directory.find(grant.endpoint);
+    const bool is_running = permit_ && permit_->permit() && attempt_ != attempt_id{};
+    const bool is_other_engine = is_running && grant.endpoint != endpoint_ && permit_->permit()->permit != grant.permit;
+    return is_other_engine && !move_ && admission_.capacity->supports_run_moves && entry != nullptr && !entry->leaving;
+}
+
+void forwarded_request::start_move(const permit_grant& grant)
+{
+    move_.emplace();
+    move_->new_permit = grant;
+    move_->source_address = endpoint_address_;
+    move_->destination_address = state_.directory.find(grant.endpoint)->address;
+    state_.log(log_event::run_moving, "id=" + request_.caller_id + " from=" + endpoint_.value() +
+                                          " to=" + grant.endpoint.value() + " events=" + std::to_string(event_count_));
+    state_.emit(copy_run{attempt_, request_.request, move_->source_address, move_->destination_address, false});
+}
+
+void forwarded_request::cancel_move()
+{
+    if (move_)
+    {
+        permit_->decline(move_->new_permit);
+        move_.reset();
+    }
+}
+
+void forwarded_request::on_run_copied(const run_copied& copy)
+{
+    if (!move_)
+    {
+        return;
+    }
+    if (copy.result == copy_result::complete && !move_->stop_requested)
+    {
+        move_->stop_requested = true;
+        state_.emit(copy_run{attempt_, request_.request, move_->source_address, move_->destination_address, true});
+        return;
+    }
+    const bool has_stopped = copy.result == copy_result::complete || copy.result == copy_result::stopped_not_copied;
+    if (!has_stopped)
+    {
+        state_.log(log_event::run_moving, "id=" + request_.caller_id + " not moved: endpoint=" + endpoint_.value() +
+                                              " result=" + std::string{name_of(copy.result)});
+        const bool stream_lost = move_->stream_ended;
+        const auto possible_completion = move_->possible_completion;
+        cancel_move();
+        if (possible_completion && copy.result == copy_result::refused)
+        {
+            complete_stream(*possible_completion);
+        }
+        else if (stream_lost)
+        {
+            state_.emit(cancel_forward{attempt_});
+            on_attempt_failed(attempt_failure::link_broken, "the stream ended while its run was being moved");
+        }
+        return;
+    }
+    move_->stopped = true;
+    move_->resumes_in_place = copy.result == copy_result::stopped_not_copied;
+    move_->handle = copy.handle;
+    move_->events = copy.events;
+    add_timer(timer_kind::resume_due, state_.settings.forwarding.last_events_wait,
+              static_cast<std::uint64_t>(move_count_));
+    resume_run_if_ready();
+}
+
+void forwarded_request::resume_run_if_ready()
+{
+    // Events that the run produced before it stopped may still be in transit.
+    if (move_ && move_->stopped && (move_->stream_ended || event_count_ >= move_->events))
+    {
+        resume_run();
+    }
+}
+
+void forwarded_request::resume_run()
+{
+    const run_move finished_move = std::move(*move_);
+    move_.reset();
+    ++move_count_;
+    tracker_.attempt_ran();
+    state_.emit(cancel_forward{attempt_});
+    state_.record_attempt_end(attempt_, endpoint_, expected_memory_, run_end::stopped);
+    pools_.attempt_ended(permit_->pool(), endpoint_, expected_memory_);
+    if (finished_move.resumes_in_place)
+    {
+        permit_->decline(finished_move.new_permit);
+    }
+    else
+    {
+        permit_->replace(finished_move.new_permit, output_tokens());
+        endpoint_ = finished_move.new_permit.endpoint;
+        endpoint_address_ = finished_move.destination_address;
+        tried_endpoints_.push_back(endpoint_);
+    }
+    gap_count_ = 0;
+    send_attempt(run_continuation{finished_move.source_address, finished_move.handle, {}});
+}
+
+} // namespace parsleyshift::detail
--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -162,6 +162,17 @@
     STRCMP_EQUAL("", caller.read_all().c_str());
 }
 
+/// Reads the chunks of a stream up to the last one.
+std::string read_stream(client& caller)
+{
+    std::string stream;
+    for (std::string chunk = caller.read_chunk(); !chunk.empty(); chunk = caller.read_chunk())
+    {
+        stream += chunk;
+    }
+    return stream;
+}
+
 std::string status_of(const std::string& response)
 {
     return response.substr(9, 3);
@@ -302,12 +313,7 @@
     client caller(forwarder.port());
     caller.send(request_text_of_caller);
     caller.read_until("\r\n\r\n");
-    std::string stream;
-    for (std::string chunk = caller.read_chunk(); !chunk.empty(); chunk = caller.read_chunk())
-    {
-        stream += chunk;
-    }
-    STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n", stream.c_str());
+    STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n", read_stream(caller).c_str());
     CHECK(forwarder.expect<forward_completed>().end == answer_end::connection_closed);
 }
 
@@ -410,12 +416,7 @@
     client caller(forwarder.port());
     caller.send(request_text_of_caller);
     caller.read_until("\r\n\r\n");
-    std::string stream;
-    for (std::string chunk = caller.read_chunk(); !chunk.empty(); chunk = caller.read_chunk())
-    {
-        stream += chunk;
-    }
-    STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", stream.c_str());
+    STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", read_stream(caller).c_str());
     LONGS_EQUAL(3, forwarder.expect<forward_completed>().events);
 }
 
