Let a new era of the store take the paths that listings and answers already had

The items of a later era replaced the copy by code of its own, beside the listing and the answers of peers, and an answer for a peer of an earlier era was composed twice. An era now begins by emptying the copy, after which the existing paths apply; the era of a pull is told in one place.

--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -140,6 +140,11 @@
     {
         return era != era_ ? era > era_ : at_revision >= as_of_;
     }
+    /// @brief True when a peer holds a copy that is as new as the local one.
+    [[nodiscard]] bool is_current(const source_pull& pull) const noexcept
+    {
+        return is_current(era_of(pull), pull.known_revision);
+    }
     /// @brief True once a first listing is complete.
     [[nodiscard]] bool listed() const noexcept
     {
@@ -155,12 +160,14 @@
     };
 
     void finish_listing();
-    /// Replaces the items by those of the listing, which is of the same era.
-    void merge_listing();
-    /// Replaces the local copy by items of a later era.
-    void replace_copy(std::map<std::string, store_item> items, source_era era);
-    /// Answer for a peer whose copy is of an earlier era.
-    source_answer whole_answer(const source_pull& pull, time_point now);
+    /// Removes all items when an era is later than that of the local copy; the caller adds those of the later one.
+    void begin_era(source_era era);
+    /// Era of the revision that a peer holds.
+    [[nodiscard]] source_era era_of(const source_pull& pull) const noexcept
+    {
+        // Instances of earlier releases do not state their era.
+        return pull.known_era == source_era{} ? era_ : pull.known_era;
+    }
     /// Bytes of the keys and values in the local copy.
     [[nodiscard]] std::size_t copy_bytes() const;
     void apply(const source_change& change);
--- a/libs/configuration/src/source_relay.cpp
+++ b/libs/configuration/src/source_relay.cpp
@@ -136,9 +136,7 @@
 {
     std::erase_if(pending_pulls_,
                   [&from](const pending_pull& pending) { return pending.from.instance == from.instance; });
-    const source_era known_era = pull.known_era == source_era{} ? watch_.era() : pull.known_era;
-    const bool is_behind = !watch_.is_current(known_era, pull.known_revision);
-    const bool answer_after_next_read = watch_.listed() && !source_unavailable_ && !is_behind;
+    const bool answer_after_next_read = watch_.listed() && !source_unavailable_ && watch_.is_current(pull);
     if (answer_after_next_read)
     {
         pending_pulls_.push_back({from, pull});
--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -95,24 +95,7 @@
         // The listing is older than the local copy; it is discarded and a new listing follows.
         return;
     }
-    if (listing_era_ > era_)
-    {
-        replace_copy(std::move(listing_), listing_era_);
-        listing_.clear();
-    }
-    else
-    {
-        merge_listing();
-    }
-    as_of_ = listing_as_of_;
-    forget_removals(as_of_);
-    confirmed_ = std::max(confirmed_, listing_started_at_);
-    listed_ = true;
-    listing_needed_ = false;
-}
-
-void store_watch::merge_listing()
-{
+    begin_era(listing_era_);
     for (const auto& [key, item] : items_)
     {
         if (!listing_.contains(key))
@@ -130,18 +113,24 @@
     }
     items_ = std::move(listing_);
     listing_.clear();
+    as_of_ = listing_as_of_;
+    forget_removals(as_of_);
+    confirmed_ = std::max(confirmed_, listing_started_at_);
+    listed_ = true;
+    listing_needed_ = false;
 }
 
-void store_watch::replace_copy(std::map<std::string, store_item> items, source_era era)
+void store_watch::begin_era(source_era era)
 {
-    for (const auto* each : {&items_, &items})
+    if (era == era_)
     {
-        for (const auto& [key, item] : *each)
-        {
-            changed_.push_back(key);
-        }
+        return;
+    }
+    for (const auto& [key, item] : items_)
+    {
+        changed_.push_back(key);
     }
-    items_ = std::move(items);
+    items_.clear();
     compressed_.clear();
     removals_.clear();
     removals_known_since_ = revision{};
@@ -192,28 +181,14 @@
             change.value = std::move(value).value();
         }
     }
-    if (answer.era > era_)
+    begin_era(answer.era);
+    for (const source_change& change : changes)
     {
-        std::map<std::string, store_item> items;
-        for (source_change& change : changes)
-        {
-            std::string key = change.key;
-            items.insert_or_assign(std::move(key),
-                                   store_item{std::move(change.key), std::move(change.value), change.changed});
-        }
-        replace_copy(std::move(items), answer.era);
-        forget_removals(answer.at_revision);
+        apply(change);
     }
-    else
+    if (answer.lists_all)
     {
-        for (const source_change& change : changes)
-        {
-            apply(change);
-        }
-        if (answer.lists_all)
-        {
-            remove_unlisted(answer);
-        }
+        remove_unlisted(answer);
     }
     as_of_ = answer.at_revision;
     confirmed_ = std::max(confirmed_, requested_at - answer.age);
@@ -261,19 +236,15 @@
 
 source_answer store_watch::answer_to(const source_pull& pull, time_point now)
 {
-    // Instances of earlier releases do not state their era.
-    const source_era known_era = pull.known_era == source_era{} ? era_ : pull.known_era;
-    if (known_era < era_)
-    {
-        return whole_answer(pull, now);
-    }
-    const revision after = pull.known_revision;
+    const source_era known_era = era_of(pull);
+    // Revisions of an earlier era say nothing about this one, so that all items are new.
+    const revision after = known_era < era_ ? revision{} : pull.known_revision;
     source_answer answer;
     answer.pull_number = pull.pull_number;
     answer.at_revision = as_of_;
     answer.era = era_;
-    answer.lists_all = after < removals_known_since_;
-    answer.available = listed_ && known_era == era_ && after <= as_of_ && (!answer.lists_all || pull.accepts_listing);
+    answer.lists_all = known_era < era_ || after < removals_known_since_;
+    answer.available = listed_ && known_era <= era_ && after <= as_of_ && (!answer.lists_all || pull.accepts_listing);
     answer.complete = answer.available;
     if (!answer.complete)
     {
@@ -301,26 +272,6 @@
     return answer;
 }
 
-source_answer store_watch::whole_answer(const source_pull& pull, time_point now)
-{
-    source_answer answer;
-    answer.pull_number = pull.pull_number;
-    answer.at_revision = as_of_;
-    answer.era = era_;
-    answer.lists_all = true;
-    answer.available = listed_ && pull.accepts_listing;
-    answer.complete = answer.available;
-    if (answer.complete)
-    {
-        answer.age = now - confirmed_;
-        for (const auto& [key, item] : items_)
-        {
-            answer.changes.push_back(change_of(item, pull.accepts_compressed));
-        }
-    }
-    return answer;
-}
-
 void store_watch::apply(const source_change& change)
 {
     const auto existing = items_.find(change.key);
