Share what the two quarantines and the notices to peers have in common

Rounding a time of death, the expiry of a history and clearing its deaths stood two or three times; choosing a live peer and merging a notice twice. Each is one piece now. The parts of a prompt are looked up at the first event of an answer only, not at each, and not for requests whose answers have begun. http_session::abort ends its request by the same code as any other end.

--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -121,21 +121,30 @@
 
 void core_state::send_quarantine_notices(const std::vector<quarantine_notice>& notices)
 {
-    const auto current_members = members.members();
     for (const auto& notice : notices)
     {
-        for (std::size_t sent = 0; sent < notice_fanout && current_members.size() > 1; ++sent)
+        for (std::size_t sent = 0; sent < notice_fanout; ++sent)
         {
-            // The first member is this instance.
-            const member_update& peer = current_members[1 + random.index(current_members.size() - 1)];
-            if (is_live(peer.state))
+            if (const member_update* peer = draw_live_peer())
             {
-                send(peer.instance, peer.peer_address, notice);
+                send(peer->instance, peer->peer_address, notice);
             }
         }
     }
 }
 
+const member_update* core_state::draw_live_peer()
+{
+    const auto current_members = members.members();
+    if (current_members.size() < 2)
+    {
+        return nullptr;
+    }
+    // The first member is this instance.
+    const member_update& peer = current_members[1 + random.index(current_members.size() - 1)];
+    return is_live(peer.state) ? &peer : nullptr;
+}
+
 void core_state::endpoint_died(const endpoint_id& endpoint)
 {
     const auto notices = quarantine.endpoint_died(endpoint, now);
@@ -207,24 +216,18 @@
 
 void core_state::synchronize_quarantine()
 {
-    const auto current_members = members.members();
-    if (current_members.size() < 2)
-    {
-        return;
-    }
-    // The first member is this instance.
-    const member_update& peer = current_members[1 + random.index(current_members.size() - 1)];
-    if (!is_live(peer.state))
+    const member_update* peer = draw_live_peer();
+    if (peer == nullptr)
     {
         return;
     }
     for (const auto& notice : blocked_parts.notices(max_synchronized_notices, now))
     {
-        send(peer.instance, peer.peer_address, notice);
+        send(peer->instance, peer->peer_address, notice);
     }
     for (const auto& notice : quarantine.notices(max_synchronized_notices, now))
     {
-        send(peer.instance, peer.peer_address, notice);
+        send(peer->instance, peer->peer_address, notice);
     }
 }
 
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -184,6 +184,9 @@
     std::vector<action>* out = nullptr;
 
   private:
+    /// A peer chosen at random; null when there is none or the chosen one is not alive.
+    const member_update* draw_live_peer();
+
     /// Endpoints with a probe in progress.
     std::unordered_set<endpoint_id> probed_;
     std::uint64_t attempt_prefix_;
--- a/libs/decision_core/src/decision_core.cpp
+++ b/libs/decision_core/src/decision_core.cpp
@@ -307,9 +307,9 @@
                  const quarantine_notice& notice)
     {
         // Only forwarded requests have parts.
-        if (!notice.prompt_part && state_.quarantine.merge(notice, state_.now))
+        if (!notice.prompt_part)
         {
-            state_.send_quarantine_notices({notice});
+            state_.merge(notice);
         }
     }
 
--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -90,8 +90,12 @@
 
 void forwarded_request::reject_if_blocked()
 {
+    if (event_count_ > 0)
+    {
+        return;
+    }
     const part_verdict verdict = state_.blocked_parts.verdict_of(parts_, state_.now);
-    if (event_count_ == 0 && verdict.state == part_state::blocked)
+    if (verdict.state == part_state::blocked)
     {
         reject_for_part(verdict);
     }
@@ -349,20 +353,24 @@
         state_.health.record_token_gap(endpoint_, gap, state_.now);
         state_.emit(record_sample{histogram::token_gap_ms, admission_.work_class, admission_.customer, gap.count()});
     }
-    state_.send_quarantine_notices(state_.blocked_parts.answer_began(attempt_, state_.now));
-    event_count_ = events;
+    count_events(events);
     last_event_at_ = state_.now;
     last_progress_at_ = state_.now;
     resume_run_if_ready();
 }
 
-void forwarded_request::on_completed(const forward_completed& completed)
+void forwarded_request::count_events(std::int64_t events)
 {
-    if (completed.events > 0)
+    if (event_count_ == 0 && events > 0)
     {
         state_.send_quarantine_notices(state_.blocked_parts.answer_began(attempt_, state_.now));
     }
-    event_count_ = completed.events;
+    event_count_ = events;
+}
+
+void forwarded_request::on_completed(const forward_completed& completed)
+{
+    count_events(completed.events);
     if (move_ && move_->stop_requested && completed.end == answer_end::connection_closed)
     {
         // An engine that stops a run closes its stream in the same way.
--- a/libs/decision_core/src/forwarded_request.hpp
+++ b/libs/decision_core/src/forwarded_request.hpp
@@ -122,6 +122,8 @@
         return admission_.matched_route.kind == route_kind::stream;
     }
     void record_gap(duration gap);
+    /// Sets the number of events received in total; the first one proves that the parts of the prompt are sound.
+    void count_events(std::int64_t events);
     /// Estimated time between two events while the engine processes no prompt; 0 until there are enough samples.
     [[nodiscard]] duration usual_gap() const;
     /// Time without progress after which the request is rejected.
--- a/libs/quarantine/include/parsleyshift/quarantine/crash_quarantine.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/crash_quarantine.hpp
@@ -149,8 +149,6 @@
     [[nodiscard]] std::size_t possible_death_count(fingerprint request, time_point now) const;
     /// Tracked runs at an endpoint.
     [[nodiscard]] std::vector<run> tracked_runs_at(const endpoint_id& endpoint, time_point now) const;
-    /// A time rounded down to a multiple of `observation_step`.
-    [[nodiscard]] time_point floor_to_step(time_point when) const;
     /// Time to record for the death that ended a run.
     [[nodiscard]] time_point death_time(const run& ended_run, time_point now) const;
     /// Finds or adds the history of a fingerprint.
--- a/libs/quarantine/include/parsleyshift/quarantine/death_history.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/death_history.hpp
@@ -11,6 +11,12 @@
 namespace parsleyshift
 {
 
+/// @brief A time of death rounded down to a multiple of a step.
+constexpr time_point floor_to_step(time_point when, duration step) noexcept
+{
+    return when - when.time_since_epoch() % step;
+}
+
 /// @brief Endpoint deaths recorded for one request fingerprint; a state-based CRDT (a join semilattice).
 ///
 /// The state is a set of observed deaths (time, endpoint), of which the latest are kept, and one time up to which they
@@ -54,6 +60,14 @@
     [[nodiscard]] std::optional<time_point> latest_death_at(const endpoint_id& endpoint) const;
     /// @brief Time of the latest death that is not cleared; the epoch when there is none.
     [[nodiscard]] time_point latest_death() const noexcept;
+    /// @brief True when there is a death that is not cleared.
+    [[nodiscard]] bool has_deaths() const noexcept
+    {
+        return !observations_.empty();
+    }
+    /// @brief Time from which the state need not be kept.
+    /// @param retention time after which a death is no longer counted
+    [[nodiscard]] time_point expiry(duration retention) const noexcept;
     /// @brief Time up to which deaths are cleared.
     [[nodiscard]] time_point cleared_until() const noexcept;
     /// @brief The state as a notice for peers.
--- a/libs/quarantine/include/parsleyshift/quarantine/part_quarantine.hpp
+++ b/libs/quarantine/include/parsleyshift/quarantine/part_quarantine.hpp
@@ -120,11 +120,12 @@
     };
     using deaths = std::vector<death_history::observation>;
 
-    [[nodiscard]] time_point floor_to_step(time_point when) const;
     [[nodiscard]] quarantine_notice notice_of(fingerprint part) const;
     /// Applies the last answer that this instance has seen on a part to the part's history.
     /// @return true when that changed the history
     bool apply_proof(fingerprint part);
+    /// Clears the deaths of a part up to a time. @return true when that changed its history
+    bool clear_deaths(fingerprint part, time_point until);
     /// Finds or adds the history of a part; null when max_parts is reached.
     death_history* history_of(fingerprint part, time_point now);
     /// Deaths of a part that count; empty while an answer on it is recent.
--- a/libs/quarantine/src/crash_quarantine.cpp
+++ b/libs/quarantine/src/crash_quarantine.cpp
@@ -131,16 +131,10 @@
     return tracked_runs;
 }
 
-time_point crash_quarantine::floor_to_step(time_point when) const
-{
-    const duration since_epoch = when.time_since_epoch();
-    return when - since_epoch % policy_.observation_step;
-}
-
 time_point crash_quarantine::death_time(const run& ended_run, time_point now) const
 {
     // The connection is lost when the endpoint dies; `now` is the time of detection, which differs between instances.
-    const time_point observed = floor_to_step(ended_run.disconnected_at.value_or(now));
+    const time_point observed = floor_to_step(ended_run.disconnected_at.value_or(now), policy_.observation_step);
     if (!ended_run.previous_death)
     {
         return observed;
@@ -237,7 +231,8 @@
     bool changed = history.clear_until(notice.cleared_at);
     for (std::size_t index = 0; index < notice.deaths.size(); ++index)
     {
-        const time_point when = floor_to_step(death_time_in(notice, index, policy_.retention));
+        const time_point when =
+            floor_to_step(death_time_in(notice, index, policy_.retention), policy_.observation_step);
         changed = history.add(notice.deaths[index], when) || changed;
     }
     return changed;
@@ -325,9 +320,7 @@
 
 void crash_quarantine::purge(time_point now)
 {
-    std::erase_if(
-        histories_, [&](const auto& entry)
-        { return std::max(entry.second.latest_death(), entry.second.cleared_until()) + policy_.retention <= now; });
+    std::erase_if(histories_, [&](const auto& entry) { return entry.second.expiry(policy_.retention) <= now; });
     std::vector<attempt_id> expired;
     for (const auto& [attempt, candidate] : runs_)
     {
--- a/libs/quarantine/src/death_history.cpp
+++ b/libs/quarantine/src/death_history.cpp
@@ -75,6 +75,11 @@
     return observations_.empty() ? time_point{} : observations_.back().when;
 }
 
+time_point death_history::expiry(duration retention) const noexcept
+{
+    return std::max(latest_death(), cleared_until_) + retention;
+}
+
 time_point death_history::cleared_until() const noexcept
 {
     return cleared_until_;
@@ -89,7 +94,7 @@
         notice.deaths.push_back(observed.endpoint);
         notice.times.push_back(observed.when);
     }
-    notice.expires = std::max(latest_death(), cleared_until_) + retention;
+    notice.expires = expiry(retention);
     notice.cleared_at = cleared_until_;
     return notice;
 }
--- a/libs/quarantine/src/part_quarantine.cpp
+++ b/libs/quarantine/src/part_quarantine.cpp
@@ -1,6 +1,6 @@
 #include <parsleyshift/quarantine/part_quarantine.hpp> // part_quarantine
 
-#include <algorithm> // any_of, count_if, find, max, min, sort
+#include <algorithm> // any_of, count_if, find, max, min, sort, unique
 #include <utility>   // move
 
 namespace parsleyshift
@@ -44,9 +44,7 @@
         {
             proofs_[part] = now;
         }
-        const auto history = histories_.find(part);
-        const bool has_deaths = history != histories_.end() && history->second.latest_death() != time_point{};
-        if (has_deaths && history->second.clear_until(now))
+        if (clear_deaths(part, now))
         {
             notices.push_back(notice_of(part));
         }
@@ -83,7 +81,8 @@
         for (const fingerprint part : ended.parts)
         {
             death_history* history = history_of(part, now);
-            if (history != nullptr && history->add(endpoint, floor_to_step(ended.lost_at.value_or(now))))
+            if (history != nullptr &&
+                history->add(endpoint, floor_to_step(ended.lost_at.value_or(now), policy_.observation_step)))
             {
                 affected.push_back(part);
             }
@@ -117,7 +116,8 @@
     bool changed = history->clear_until(notice.cleared_at);
     for (std::size_t index = 0; index < std::min(notice.deaths.size(), notice.times.size()); ++index)
     {
-        changed = history->add(notice.deaths[index], floor_to_step(notice.times[index])) || changed;
+        changed =
+            history->add(notice.deaths[index], floor_to_step(notice.times[index], policy_.observation_step)) || changed;
     }
     changed = apply_proof(notice.request) || changed;
     return changed ? std::optional{notice_of(notice.request)} : std::nullopt;
@@ -177,9 +177,7 @@
 
 void part_quarantine::purge(time_point now)
 {
-    std::erase_if(
-        histories_, [&](const auto& entry)
-        { return std::max(entry.second.latest_death(), entry.second.cleared_until()) + policy_.retention <= now; });
+    std::erase_if(histories_, [&](const auto& entry) { return entry.second.expiry(policy_.retention) <= now; });
     std::erase_if(proofs_, [&](const auto& entry) { return entry.second + policy_.proof_retention <= now; });
     std::erase_if(runs_,
                   [&](const auto& entry)
@@ -189,11 +187,6 @@
                   });
 }
 
-time_point part_quarantine::floor_to_step(time_point when) const
-{
-    return when - when.time_since_epoch() % policy_.observation_step;
-}
-
 quarantine_notice part_quarantine::notice_of(fingerprint part) const
 {
     quarantine_notice notice = histories_.at(part).to_notice(part, policy_.retention);
@@ -204,14 +197,14 @@
 bool part_quarantine::apply_proof(fingerprint part)
 {
     const auto proof = proofs_.find(part);
-    const auto history = histories_.find(part);
-    if (proof == proofs_.end() || history == histories_.end())
-    {
-        return false;
-    }
+    return proof != proofs_.end() && clear_deaths(part, proof->second);
+}
+
+bool part_quarantine::clear_deaths(fingerprint part, time_point until)
+{
     // Without deaths there is nothing to clear, and peers that answer frequently would exchange notices for ever.
-    const bool has_deaths = history->second.latest_death() != time_point{};
-    return has_deaths && history->second.clear_until(proof->second);
+    const auto history = histories_.find(part);
+    return history != histories_.end() && history->second.has_deaths() && history->second.clear_until(until);
 }
 
 death_history* part_quarantine::history_of(fingerprint part, time_point now)
--- a/libs/runtime/include/parsleyshift/runtime/http_session.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_session.hpp
@@ -128,6 +128,8 @@
     void dispatch_request();
     void reject(const error& why, unsigned status);
     void end_request();
+    /// Removes the request in progress from the server without reporting a disconnect.
+    void forget_request();
     /// Queues a header. Ignores `size` for a stream.
     void append_head(unsigned status, std::string_view content_type, std::size_t size, bool chunked);
     void finish_chunk();
--- a/libs/runtime/src/http_session.cpp
+++ b/libs/runtime/src/http_session.cpp
@@ -233,8 +233,7 @@
 {
     if (state_ == state::streaming && !chunked_)
     {
-        server_.requests_.erase(request_);
-        request_ = request_id{};
+        forget_request();
         disconnect();
         return;
     }
@@ -276,13 +275,18 @@
     end_request();
 }
 
-void http_session::end_request()
+void http_session::forget_request()
 {
     if (request_ != request_id{})
     {
         server_.requests_.erase(request_);
         request_ = request_id{};
     }
+}
+
+void http_session::end_request()
+{
+    forget_request();
     stalled_ = false;
     state_ = keeps_alive() ? state::reading : state::closing;
 }
