Read and log the limit on requests per second that endpoints name in their answers

An endpoint named 2 a second at 8.0 s and got 8, 10, 12, 8, 19 and 27 requests in the seconds after, as many as before, while nothing was turned away.

No decision depends on it yet.

--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -252,6 +252,7 @@
             endpoint_died(removed.endpoint);
         }
         health.remove(removed.endpoint);
+        start_limits.remove(removed.endpoint);
         ledger.remove(removed.endpoint);
         prefixes.remove(removed.endpoint);
     }
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -17,6 +17,7 @@
 #include <parsleyshift/routing/endpoint_costs.hpp>            // endpoint_chooser
 #include <parsleyshift/routing/endpoint_directory.hpp>        // endpoint_directory
 #include <parsleyshift/routing/endpoint_health.hpp>           // endpoint_health
+#include <parsleyshift/routing/endpoint_start_limits.hpp>     // endpoint_start_limits
 #include <parsleyshift/routing/in_flight_tracker.hpp>         // in_flight_tracker
 #include <parsleyshift/routing/peer_health.hpp>               // peer_health
 #include <parsleyshift/routing/prefix_index.hpp>              // prefix_index
@@ -98,6 +99,7 @@
     endpoint_directory directory;
     endpoint_health health;
     peer_health reported_health;
+    endpoint_start_limits start_limits;
     in_flight_tracker ledger;
     prefix_index prefixes;
     endpoint_candidates candidates;
--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -269,6 +269,7 @@
 void forwarded_request::on_answer(const forward_answered& answer)
 {
     tracker_.attempt_ran();
+    record_start_limit(answer.starts_per_second);
     if (answer_delivered_)
     {
         // The head of the caller's answer was delivered before the move; only the stream is resumed.
@@ -405,8 +406,24 @@
     finish(outcome::completed, std::nullopt);
 }
 
-void forwarded_request::on_attempt_failed(attempt_failure failure, const std::string& message)
+void forwarded_request::record_start_limit(std::optional<double> starts_per_second)
 {
+    if (state_.start_limits.record_answer(endpoint_, starts_per_second, attempt_started_at_, state_.now))
+    {
+        state_.log(log_event::endpoint_limit_changed,
+                   endpoint_.value() + (starts_per_second
+                                            ? " accepts requests_per_s=" + std::to_string(*starts_per_second)
+                                            : std::string{" names no limit any more"}));
+    }
+}
+
+void forwarded_request::on_attempt_failed(const attempt_failed& failed)
+{
+    const attempt_failure failure = failed.failure;
+    if (failure == attempt_failure::not_started)
+    {
+        record_start_limit(failed.starts_per_second);
+    }
     if (move_ && move_->stop_requested && failure == attempt_failure::link_broken)
     {
         // A run that is stopped for a move ends its stream without an end mark.
@@ -436,7 +453,7 @@
     }
     if (answer_delivered_)
     {
-        reject(make_error(error_kind::incomplete_answer, "endpoint " + endpoint_.value() + ": " + message));
+        reject(make_error(error_kind::incomplete_answer, "endpoint " + endpoint_.value() + ": " + failed.message));
         return;
     }
     if (failure == attempt_failure::deadline_passed && state_.now < deadline_)
--- a/libs/decision_core/src/forwarded_request.hpp
+++ b/libs/decision_core/src/forwarded_request.hpp
@@ -87,7 +87,7 @@
     /// @brief Handles the result of a copy_run action.
     void on_run_copied(const run_copied& copy);
     /// @brief Ends the attempt, then retries it or rejects the request.
-    void on_attempt_failed(attempt_failure failure, const std::string& message);
+    void on_attempt_failed(const attempt_failed& failed);
     /// @brief Handles a timer of this request; timers of earlier steps are ignored.
     void on_timer(const core_timer& due);
     /// @brief Drops the attempt in progress and ends the request without an answer.
@@ -135,6 +135,8 @@
     void start_attempt(const endpoint_id& endpoint);
     void end_attempt(run_end ending, bool completed);
     void retry_or_reject(attempt_failure failure);
+    /// Records the limit on requests per second that the endpoint of the attempt stated in its answer.
+    void record_start_limit(std::optional<double> starts_per_second);
     void reject_for_part(const part_verdict& verdict);
     void check_silence();
     void reject(error reason);
--- a/libs/decision_core/src/forwarded_request_moves.cpp
+++ b/libs/decision_core/src/forwarded_request_moves.cpp
@@ -62,7 +62,8 @@
         else if (stream_lost)
         {
             state_.emit(cancel_forward{attempt_});
-            on_attempt_failed(attempt_failure::link_broken, "the stream ended while its run was being moved");
+            on_attempt_failed(
+                {attempt_, attempt_failure::link_broken, "the stream ended while its run was being moved"});
         }
         return;
     }
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -170,8 +170,7 @@
     }
     void on(const attempt_failed& failed)
     {
-        forwards_.update(failed.attempt, [&](detail::forwarded_request& active)
-                         { active.on_attempt_failed(failed.failure, failed.message); });
+        forwards_.update(failed.attempt, [&](detail::forwarded_request& active) { active.on_attempt_failed(failed); });
     }
     void on(const entry_query& query)
     {
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -209,7 +209,7 @@
         head_ = head;
         if (is_event_stream())
         {
-            owner_.feed_(forward_answered{start_.attempt, evaluation_.sign, false});
+            owner_.feed_(forward_answered{start_.attempt, evaluation_.sign, false, evaluation_.starts_per_second});
         }
         return true;
     }
@@ -250,7 +250,7 @@
         if (!streaming_)
         {
             body_ = std::move(body);
-            owner_.feed_(forward_answered{start_.attempt, evaluation_.sign, true});
+            owner_.feed_(forward_answered{start_.attempt, evaluation_.sign, true, evaluation_.starts_per_second});
             return;
         }
         owner_.feed_(forward_completed{start_.attempt, events_sent(), end});
@@ -337,10 +337,11 @@
     void fail(attempt_failure failure, std::string message)
     {
         const attempt_id attempt = start_.attempt;
+        const std::optional<double> starts_per_second = evaluation_.starts_per_second;
         forwarder& owner = owner_;
         // Keeps this sink alive: the core may cancel the attempt, and with it the sink, while it handles the event.
         const auto self = owner.attempts_.extract(attempt);
-        owner.feed_(attempt_failed{attempt, failure, std::move(message)});
+        owner.feed_(attempt_failed{attempt, failure, std::move(message), starts_per_second});
     }
 
     forwarder& owner_;
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
@@ -27,6 +27,8 @@
     std::optional<attempt_failure> not_run_reason;
     /// success; failure: an error response that is meant for the caller; fault: a failure of the endpoint itself.
     answer_sign sign = answer_sign::success;
+    /// Requests per second, from all instances together, that the endpoint accepts; nothing if the response names none.
+    std::optional<double> starts_per_second{};
 };
 
 /// @brief A response that the instance itself generates.
--- a/libs/messages/include/parsleyshift/messages/action.hpp
+++ b/libs/messages/include/parsleyshift/messages/action.hpp
@@ -255,6 +255,8 @@
     endpoint_ejected,
     endpoint_restored,
     endpoint_leaving,
+    /// The number of requests per second that an endpoint accepts has changed.
+    endpoint_limit_changed,
     request_quarantined,
     scheduler_changed,
     placement_ordered,
@@ -295,6 +297,7 @@
         enum_name<log_event>{log_event::endpoint_ejected, "endpoint_ejected"},
         enum_name<log_event>{log_event::endpoint_restored, "endpoint_restored"},
         enum_name<log_event>{log_event::endpoint_leaving, "endpoint_leaving"},
+        enum_name<log_event>{log_event::endpoint_limit_changed, "endpoint_limit_changed"},
         enum_name<log_event>{log_event::request_quarantined, "request_quarantined"},
         enum_name<log_event>{log_event::scheduler_changed, "scheduler_changed"},
         enum_name<log_event>{log_event::placement_ordered, "placement_ordered"},
--- a/libs/messages/include/parsleyshift/messages/event.hpp
+++ b/libs/messages/include/parsleyshift/messages/event.hpp
@@ -7,11 +7,12 @@
 #include <parsleyshift/messages/platform.hpp> // raw_record, listed_instance
 #include <parsleyshift/messages/request.hpp>  // generation_request
 
-#include <array>   // array
-#include <cstdint> // int64_t
-#include <string>  // string
-#include <variant> // variant
-#include <vector>  // vector
+#include <array>    // array
+#include <cstdint>  // int64_t
+#include <optional> // optional
+#include <string>   // string
+#include <variant>  // variant
+#include <vector>   // vector
 
 namespace parsleyshift
 {
@@ -61,6 +62,8 @@
     attempt_id attempt;
     attempt_failure failure = attempt_failure::link_broken;
     std::string message;
+    /// For attempt_failure::not_started: as in forward_answered.
+    std::optional<double> starts_per_second{};
 };
 
 /// Result of a call to a plain service.
--- a/libs/messages/include/parsleyshift/messages/forward.hpp
+++ b/libs/messages/include/parsleyshift/messages/forward.hpp
@@ -188,6 +188,8 @@
     answer_sign sign = answer_sign::success;
     /// True for a complete answer; false for the header of a stream, whose events follow.
     bool complete = true;
+    /// Requests per second, from all instances together, that the endpoint accepts; nothing if the answer names none.
+    std::optional<double> starts_per_second{};
 };
 
 /// @brief Events of a delivered stream have been passed on to the caller.
--- /dev/null
+++ b/libs/routing/tests/endpoint_start_limits_test.cpp
@@ -0,0 +1,35 @@
+#include <parsleyshift/test_support/property.hpp> // TEST_GROUP, CHECK
+
+#include <parsleyshift/routing/endpoint_start_limits.hpp> // endpoint_start_limits
+
+using namespace parsleyshift;
+
+namespace
+{
+
+const endpoint_id endpoint{"e"};
+
+} // namespace
+
+TEST_GROUP(endpoint_start_limits){};
+
+TEST(endpoint_start_limits, follow_the_answers)
+{
+    endpoint_start_limits limits;
+    CHECK_FALSE(limits.record_answer(endpoint, std::nullopt, at_ms(1), at_ms(2)));
+    CHECK(limits.record_answer(endpoint, 2.0, at_ms(1), at_ms(3)));
+    CHECK_FALSE(limits.record_answer(endpoint, 2.0, at_ms(4), at_ms(5)));
+    CHECK(limits.record_answer(endpoint, 3.0, at_ms(4), at_ms(6)));
+    CHECK(limits.limit(endpoint) == 3.0);
+    CHECK(limits.record_answer(endpoint, std::nullopt, at_ms(7), at_ms(8)));
+    CHECK_FALSE(limits.limit(endpoint).has_value());
+}
+
+// Guards against an answer from before the limit that arrives late and ends it.
+TEST(endpoint_start_limits, outlast_answers_to_requests_sent_before)
+{
+    endpoint_start_limits limits;
+    limits.record_answer(endpoint, 2.0, at_ms(1), at_ms(10));
+    CHECK_FALSE(limits.record_answer(endpoint, std::nullopt, at_ms(9), at_ms(20)));
+    CHECK(limits.limit(endpoint) == 2.0);
+}
