Add failing tests for limits on requests per second that endpoints name

The tests simulate plain endpoints and engines that name a limit, change it and end it, in front of 7, 20 and 81 instances, with lost messages and replaced instances.

--- a/libs/decision_core/tests/core_fleet.hpp
+++ b/libs/decision_core/tests/core_fleet.hpp
@@ -14,8 +14,8 @@
 namespace parsleyshift::test
 {
 
-/// @brief Several cores that exchange messages in virtual time, and engines that crash when they begin to answer a
-/// prompt with the part `deadly`.
+/// @brief Several cores that exchange messages in virtual time, endpoints that can name limits on requests per second,
+/// and engines that crash when they begin to answer a prompt with the part `deadly`.
 class core_fleet
 {
   public:
@@ -26,6 +26,16 @@
         /// Probability with which a message between instances is lost.
         double loss = 0.0;
         std::uint64_t seed = 1;
+        /// Endpoints of the plain service, d1 and so on; the engines are w1 and so on.
+        int plain_endpoints = 0;
+    };
+    /// @brief A request that reached an endpoint which names a limit.
+    struct limited_arrival
+    {
+        time_point when;
+        endpoint_id endpoint;
+        /// The instance had passed on an answer with the limit half a second before or earlier.
+        bool instance_knows = false;
     };
     /// @brief A request with the deadly part that was sent to an engine.
     struct deadly_start
@@ -40,6 +50,10 @@
         {
             add_engine();
         }
+        for (int number = 1; number <= settings_.plain_endpoints; ++number)
+        {
+            plain_endpoints_.emplace_back("d" + std::to_string(number));
+        }
         for (std::size_t index = 0; index < settings_.instances; ++index)
         {
             add_core();
@@ -51,6 +65,38 @@
     {
         send_request(random_.index(cores_.size()), std::move(parts));
     }
+    /// @brief Sends a request to an idempotent route of the plain service, to a random instance.
+    void send_plain_request()
+    {
+        send_request(random_.index(cores_.size()), {}, "/idempotent/1");
+    }
+    /// @brief Lets an endpoint name a limit on requests per second in its answers, or end it.
+    void name_limit(const std::string& endpoint, std::optional<double> starts_per_second)
+    {
+        limits_[endpoint_id{endpoint}] = starts_per_second;
+        std::erase_if(passed_on_, [&endpoint](const auto& each) { return each.first.second == endpoint; });
+    }
+    /// @brief Largest number of requests in 4 s that reached an endpoint from instances that knew its limit.
+    /// @param from only requests since this time count
+    std::size_t most_arrivals(const std::string& endpoint, time_point from) const
+    {
+        std::size_t most = 0;
+        std::vector<time_point> window;
+        for (const limited_arrival& each : limited_arrivals)
+        {
+            if (each.endpoint == endpoint_id{endpoint} && each.instance_knows && each.when >= from)
+            {
+                window.push_back(each.when);
+                std::erase_if(window, [&each](time_point when) { return when + limit_window <= each.when; });
+                most = std::max(most, window.size());
+            }
+        }
+        return most;
+    }
+    [[nodiscard]] time_point now() const
+    {
+        return now_;
+    }
     /// @brief Replaces an instance by a new process, which knows nothing.
     void restart(std::size_t index)
     {
@@ -81,8 +127,18 @@
     int sound_requests = 0;
     /// Sound requests that were rejected because of a part.
     int sound_quarantined = 0;
+    std::vector<limited_arrival> limited_arrivals;
+    /// Requests that were answered, by endpoint.
+    std::map<std::string, int> answered;
+    /// Times from the arrivals of rejected requests to their rejections.
+    std::vector<duration> rejected_after;
 
   private:
+    static constexpr duration limit_window{4'000};
+    /// Time from an answer with a limit after which the requests of the instance count.
+    static constexpr duration limit_notice{500};
+    /// Time from the arrival of a request at a plain endpoint to its answer.
+    static constexpr duration plain_answer_time{15};
     static constexpr duration step{5};
     static constexpr duration message_delay{10};
     /// Time from the arrival of a request at an engine to its first event.
@@ -102,6 +158,7 @@
         std::string core;
         endpoint_id engine;
         bool deadly = false;
+        bool plain = false;
     };
     struct engine_state
     {
@@ -148,6 +205,10 @@
         {
             rows.push_back(make_endpoint(each.id.value(), engine_service));
         }
+        for (const std::string& each : plain_endpoints_)
+        {
+            rows.push_back(make_endpoint(each, plain_service));
+        }
         return rows;
     }
     engine_state* find_engine(const endpoint_id& id)
@@ -161,13 +222,13 @@
         const engine_state* found = find_engine(id);
         return found != nullptr && !found->crashed_at;
     }
-    void send_request(std::size_t index, std::vector<std::string> parts)
+    void send_request(std::size_t index, std::vector<std::string> parts, const std::string& path = "/stream/1")
     {
         forward_request request;
         request.request = request_id{++request_count_};
         request.caller_id = std::to_string(request_count_);
         request.host = "h";
-        request.path = "/stream/1";
+        request.path = path;
         request.key = "key";
         request.prompt_tokens = 100;
         request.max_tokens = 400;
@@ -176,6 +237,7 @@
         sound_requests += deadly ? 0 : 1;
         deadly_requests_[request_count_] = deadly;
         request.prompt_parts = std::move(parts);
+        sent_at_[request_count_] = now_;
         feed(index, request);
     }
     void feed(std::size_t index, const event& input)
@@ -218,6 +280,7 @@
         }
         else if (const auto* rejected = std::get_if<request_rejected>(&requested))
         {
+            rejected_after.push_back(now_ - sent_at_[rejected->request.value()]);
             const bool is_sound = !deadly_requests_[rejected->request.value()];
             sound_quarantined += is_sound && rejected->why.kind == error_kind::quarantined ? 1 : 0;
         }
@@ -229,6 +292,14 @@
     void begin_run(std::size_t index, const start_forward& begun)
     {
         const bool deadly = deadly_requests_[begun.request.value()];
+        record_arrival(index, begun.endpoint);
+        if (begun.kind != route_kind::stream)
+        {
+            runs_[begun.attempt] = {cores_[index].name, begun.endpoint, false, true};
+            schedule(index, plain_answer_time, forward_answered{begun.attempt, answer_sign::success, true},
+                     begun.attempt);
+            return;
+        }
         if (!is_running(begun.endpoint))
         {
             schedule(index, message_delay, attempt_failed{begun.attempt, attempt_failure::connect_failed, "refused"});
@@ -245,6 +316,26 @@
         schedule(index, first_event_delay, forward_progress{begun.attempt, 1}, begun.attempt);
         schedule(index, answer_time, forward_completed{begun.attempt, 30}, begun.attempt);
     }
+    void record_arrival(std::size_t index, const endpoint_id& endpoint)
+    {
+        if (limits_[endpoint])
+        {
+            const auto passed_on = passed_on_.find({cores_[index].name, endpoint.value()});
+            const bool knows = passed_on != passed_on_.end() && passed_on->second + limit_notice <= now_;
+            limited_arrivals.push_back({now_, endpoint, knows});
+        }
+    }
+    /// Adds the limit that the endpoint names now to the head of its answer.
+    void answer(const run& answered_run, forward_answered head)
+    {
+        head.starts_per_second = limits_[answered_run.engine];
+        if (head.starts_per_second)
+        {
+            passed_on_.try_emplace({answered_run.core, answered_run.engine.value()}, now_);
+        }
+        ++answered[answered_run.engine.value()];
+        feed(answered_run.core, head);
+    }
     void send(std::size_t index, send_to_peer message)
     {
         const bool is_lost = static_cast<double>(random_.index(1'000)) < settings_.loss * 1'000;
@@ -291,6 +382,16 @@
             crash(run_of->second.engine);
             return;
         }
+        if (const auto* head = std::get_if<forward_answered>(&arrived.what))
+        {
+            const run answering = run_of->second;
+            if (answering.plain)
+            {
+                runs_.erase(run_of);
+            }
+            answer(answering, *head);
+            return;
+        }
         if (std::holds_alternative<forward_completed>(arrived.what))
         {
             runs_.erase(run_of);
@@ -335,6 +436,11 @@
     std::vector<core> cores_;
     std::map<attempt_id, run> runs_;
     std::map<std::uint64_t, bool> deadly_requests_;
+    std::map<std::uint64_t, time_point> sent_at_;
+    std::vector<std::string> plain_endpoints_;
+    std::map<endpoint_id, std::optional<double>> limits_;
+    /// First time at which an instance passed on an answer with the limit of an endpoint.
+    std::map<std::pair<std::string, std::string>, time_point> passed_on_;
     std::vector<pending_event> pending_;
 };
 
