Keep the limits on requests per second that endpoints name, over all instances together

Callers saw nothing. An endpoint of a plain service named 2 requests a second and got 61 in 4 s from instances that it had told, where 17 were allowed; another named 3 and got 71.

Cause: nothing read the limit. The class of fault: what an endpoint states about its capacity was known to the instance that read it, if at all, and plain requests had nothing that counts over instances. Ruled out: repeats (attempts beyond the first were under a tenth of the arrivals), rejected requests that come again (none were turned away).

Change: the scheduler of the pool, which already grants the permits of streams, grants every start at a limited endpoint, also those of plain requests, at the stated pace. An instance that does not reach the scheduler uses no limited endpoint. Answers and notices between peers carry the limit, its changes and its end; an answer to a request that was sent before the limit was learned does not end it. After a takeover the new scheduler grants half of the limit for 3 s, so that two that are active at once stay within 1.5 times the limit. Moves count as starts at their destination. Equal shares for the instances were ruled out by arithmetic: with 81 instances a share of 2 a second is one start in 40 s each, and a saved start for each instance exceeds the limit.

--- a/libs/decision_core/src/call_manager.cpp
+++ b/libs/decision_core/src/call_manager.cpp
@@ -9,17 +9,19 @@
 {
 
 std::optional<endpoint_id> choose_plain_endpoint(core_state& state, const service_id& service,
+                                                 const std::vector<endpoint_id>& tried,
                                                  const std::vector<endpoint_id>& excluded)
 {
     routing_query query;
     query.service = service;
     query.excluded = excluded;
+    query.excluded.insert(query.excluded.end(), tried.begin(), tried.end());
     const auto& candidates =
         state.candidates.gather_service(query, state.directory, state.ledger, state.health, state.prefixes, state.now);
     auto chosen = state.chooser.choose(candidates, query, state.random);
-    if (!chosen && !excluded.empty())
+    if (!chosen && !tried.empty())
     {
-        query.excluded.clear();
+        query.excluded = excluded;
         chosen = state.chooser.choose(candidates, query, state.random);
     }
     if (!chosen)
--- a/libs/decision_core/src/call_manager.hpp
+++ b/libs/decision_core/src/call_manager.hpp
@@ -13,10 +13,12 @@
 {
 
 /// @brief Chooses an endpoint of a plain service.
-/// @param excluded endpoints that the request has used; used again only when there is no other
+/// @param tried endpoints that the request has used; used again only when there is no other
+/// @param excluded endpoints that are not chosen
 /// @return nothing when the service has no usable endpoint
 std::optional<endpoint_id> choose_plain_endpoint(core_state& state, const service_id& service,
-                                                 const std::vector<endpoint_id>& excluded);
+                                                 const std::vector<endpoint_id>& tried,
+                                                 const std::vector<endpoint_id>& excluded = {});
 
 /// @brief The idempotent calls to plain services in progress at this instance.
 class call_manager
--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -123,16 +123,35 @@
 {
     for (const auto& notice : notices)
     {
-        for (std::size_t sent = 0; sent < notice_fanout; ++sent)
+        spread(notice);
+    }
+}
+
+void core_state::spread(const peer_message& notice)
+{
+    for (std::size_t sent = 0; sent < notice_fanout; ++sent)
+    {
+        if (const member_update* peer = draw_live_peer())
         {
-            if (const member_update* peer = draw_live_peer())
-            {
-                send(peer->instance, peer->peer_address, notice);
-            }
+            send(peer->instance, peer->peer_address, notice);
         }
     }
 }
 
+void core_state::synchronize_start_limits()
+{
+    const auto notices = start_limits.notices(now);
+    const member_update* peer = notices.empty() ? nullptr : draw_live_peer();
+    if (peer == nullptr)
+    {
+        return;
+    }
+    for (const auto& notice : notices)
+    {
+        send(peer->instance, peer->peer_address, notice);
+    }
+}
+
 const member_update* core_state::draw_live_peer()
 {
     const auto current_members = members.members();
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -152,6 +152,10 @@
     /// @brief Records the end of an attempt in ledger and quarantine and sends a resulting quarantine notice to peers.
     /// @param memory KV cache that the ledger has reserved for the attempt, in tokens; 0 for plain services
     void record_attempt_end(attempt_id attempt, const endpoint_id& endpoint, std::int64_t memory, run_end end);
+    /// @brief Sends a notice to randomly chosen live peers, which forward it when it is new to them.
+    void spread(const peer_message& notice);
+    /// @brief Sends what is known about the limits of endpoints to a peer, which may have missed notices or be new.
+    void synchronize_start_limits();
     /// @brief Sends quarantine notices to randomly chosen live peers.
     void send_quarantine_notices(const std::vector<quarantine_notice>& notices);
     /// @brief Handles the death of an endpoint's process: quarantines the requests that ran there and sends the
--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -16,6 +16,8 @@
 /// Number of gaps between events needed for an estimate of the usual gap. At 28 ms per event, 12 gaps take a third of a
 /// second, in which an engine makes at least one step that processes no prompt.
 constexpr int min_gap_samples = 12;
+/// Part of a plain request's latency objective for which it may wait for a start at a limited endpoint.
+constexpr int plain_start_wait_divisor = 2;
 /// Expected wait from which the retry_after of a rejected request is drawn.
 constexpr duration default_expected_wait{1'000};
 
@@ -134,6 +136,7 @@
     work.max_tokens = request_.max_tokens;
     work.expected_tokens = request_.expected_tokens;
     work.prefixes = request_.prefixes;
+    work.plain = !admission_.capacity;
     work.start_by = std::min(deadline_, arrived_at_ + max_start_delay);
     return work;
 }
@@ -145,20 +148,37 @@
 
 void forwarded_request::select_endpoint()
 {
-    if (permit_)
+    if (!admission_.capacity)
     {
-        if (!permit_->request_permit())
-        {
-            reject(make_error(error_kind::no_endpoint, "service " + admission_.service.value() + " has no known engine",
-                              state_.draw_retry_after(default_expected_wait)));
-        }
+        select_plain_endpoint();
         return;
     }
-    const auto chosen = choose_plain_endpoint(state_, admission_.service, tried_endpoints_);
-    if (!chosen)
+    if (!permit_->request_permit())
     {
-        reject(make_error(error_kind::no_endpoint, "service " + admission_.service.value() + " has no known endpoint",
+        reject(make_error(error_kind::no_endpoint, "service " + admission_.service.value() + " has no known engine",
                           state_.draw_retry_after(default_expected_wait)));
+    }
+}
+
+void forwarded_request::select_plain_endpoint()
+{
+    const auto chosen = choose_plain_endpoint(state_, admission_.service, tried_endpoints_, denied_endpoints_);
+    if (!chosen)
+    {
+        reject(denial_.value_or(make_error(error_kind::no_endpoint,
+                                           "service " + admission_.service.value() + " has no known endpoint",
+                                           state_.draw_retry_after(default_expected_wait))));
+        return;
+    }
+    if (state_.start_limits.limit(*chosen))
+    {
+        if (!permit_)
+        {
+            permit_ = std::make_unique<permit_holder>(state_, pools_, describe_work(), fingerprint_);
+        }
+        const duration longest_wait = admission_.matched_route.objective / plain_start_wait_divisor;
+        permit_->request_permit_of(state_.directory.find(*chosen)->pool,
+                                   std::min(deadline_, state_.now + longest_wait));
         return;
     }
     if (!state_.quarantine.may_run(fingerprint_, *chosen, state_.now))
@@ -170,6 +190,19 @@
     start_attempt(*chosen);
 }
 
+void forwarded_request::select_unlimited_endpoint(const error& denial)
+{
+    denial_ = denial;
+    for (const endpoint_entry* entry : state_.directory.endpoints_of(permit_->pool()))
+    {
+        if (state_.start_limits.limit(entry->endpoint))
+        {
+            denied_endpoints_.push_back(entry->endpoint);
+        }
+    }
+    select_plain_endpoint();
+}
+
 void forwarded_request::on_permit_granted(const permit_grant& grant, bool from_scheduler)
 {
     if (can_move_to(grant))
@@ -190,10 +223,35 @@
     if (permit_ && permit_->waiting())
     {
         permit_->on_permit_denied();
+        if (!admission_.capacity)
+        {
+            select_unlimited_endpoint(denial);
+            return;
+        }
         reject(denial);
     }
 }
 
+void forwarded_request::on_permit_timer(const core_timer& due)
+{
+    if (!permit_)
+    {
+        return;
+    }
+    if (!admission_.capacity && permit_->is_unanswered(due))
+    {
+        permit_->release(0, false);
+        select_unlimited_endpoint(make_error(error_kind::no_endpoint,
+                                             "the scheduler of pool " + permit_->pool().value() + " does not answer",
+                                             state_.draw_retry_after(default_expected_wait)));
+        return;
+    }
+    if (const auto local_grant = permit_->on_timer(due))
+    {
+        on_permit_granted(*local_grant, false);
+    }
+}
+
 void forwarded_request::on_permit_queued()
 {
     if (permit_)
@@ -269,7 +327,7 @@
 void forwarded_request::on_answer(const forward_answered& answer)
 {
     tracker_.attempt_ran();
-    record_start_limit(answer.starts_per_second);
+    pools_.record_start_limit(endpoint_, answer.starts_per_second, attempt_started_at_);
     if (answer_delivered_)
     {
         // The head of the caller's answer was delivered before the move; only the stream is resumed.
@@ -406,23 +464,12 @@
     finish(outcome::completed, std::nullopt);
 }
 
-void forwarded_request::record_start_limit(std::optional<double> starts_per_second)
-{
-    if (state_.start_limits.record_answer(endpoint_, starts_per_second, attempt_started_at_, state_.now))
-    {
-        state_.log(log_event::endpoint_limit_changed,
-                   endpoint_.value() + (starts_per_second
-                                            ? " accepts requests_per_s=" + std::to_string(*starts_per_second)
-                                            : std::string{" names no limit any more"}));
-    }
-}
-
 void forwarded_request::on_attempt_failed(const attempt_failed& failed)
 {
     const attempt_failure failure = failed.failure;
     if (failure == attempt_failure::not_started)
     {
-        record_start_limit(failed.starts_per_second);
+        pools_.record_start_limit(endpoint_, failed.starts_per_second, attempt_started_at_);
     }
     if (move_ && move_->stop_requested && failure == attempt_failure::link_broken)
     {
@@ -438,7 +485,7 @@
     const bool is_leaving_or_removed = entry == nullptr || entry->leaving;
     const run_end ending = is_leaving_or_removed ? run_end::stopped : run_end_of(failure);
     end_attempt(ending, false);
-    if (permit_ && ending == run_end::connection_lost)
+    if (admission_.capacity && ending == run_end::connection_lost)
     {
         state_.probe(endpoint_, endpoint_address_);
     }
@@ -524,13 +571,7 @@
         break;
     case timer_kind::retry_due:
     case timer_kind::permit_reply_due:
-        if (permit_)
-        {
-            if (const auto local_grant = permit_->on_timer(due))
-            {
-                on_permit_granted(*local_grant, false);
-            }
-        }
+        on_permit_timer(due);
         break;
     default:
         break;
--- a/libs/decision_core/src/forwarded_request.hpp
+++ b/libs/decision_core/src/forwarded_request.hpp
@@ -132,11 +132,15 @@
     [[nodiscard]] work_description describe_work() const;
     /// Requests a permit for an engine, or starts an attempt at an endpoint of a plain service.
     void select_endpoint();
+    /// Starts an attempt at an endpoint of a plain service, or requests a permit for one that limits its requests per
+    /// second.
+    void select_plain_endpoint();
+    /// The scheduler of the pool has granted no start at its limited endpoints: chooses among the others.
+    void select_unlimited_endpoint(const error& denial);
+    void on_permit_timer(const core_timer& due);
     void start_attempt(const endpoint_id& endpoint);
     void end_attempt(run_end ending, bool completed);
     void retry_or_reject(attempt_failure failure);
-    /// Records the limit on requests per second that the endpoint of the attempt stated in its answer.
-    void record_start_limit(std::optional<double> starts_per_second);
     void reject_for_part(const part_verdict& verdict);
     void check_silence();
     void reject(error reason);
@@ -154,9 +158,13 @@
     /// Fingerprints of the parts of the prompt.
     std::vector<fingerprint> parts_;
     outcome_tracker tracker_;
-    /// Set when engines provide the service.
+    /// Set when engines provide the service, or once a start at a limited endpoint of a plain service was requested.
     std::unique_ptr<permit_holder> permit_;
     std::vector<endpoint_id> tried_endpoints_;
+    /// Limited endpoints of plain services whose schedulers have granted no start.
+    std::vector<endpoint_id> denied_endpoints_;
+    /// The latest denial; the request is rejected with it when no other endpoint is left.
+    std::optional<error> denial_;
     /// The attempt in progress; default-constructed when there is none.
     attempt_id attempt_;
     endpoint_id endpoint_;
--- a/libs/decision_core/src/forwarded_request_moves.cpp
+++ b/libs/decision_core/src/forwarded_request_moves.cpp
@@ -12,7 +12,8 @@
     const endpoint_entry* entry = state_.directory.find(grant.endpoint);
     const bool is_running = permit_ && permit_->permit() && attempt_ != attempt_id{};
     const bool is_other_engine = is_running && grant.endpoint != endpoint_ && permit_->permit()->permit != grant.permit;
-    return is_other_engine && !move_ && admission_.capacity->supports_run_moves && entry != nullptr && !entry->leaving;
+    return is_other_engine && !move_ && admission_.capacity && admission_.capacity->supports_run_moves &&
+           entry != nullptr && !entry->leaving;
 }
 
 void forwarded_request::start_move(const permit_grant& grant)
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -467,6 +467,7 @@
         if (next_quarantine_exchange_ <= state_.now)
         {
             state_.synchronize_quarantine();
+            state_.synchronize_start_limits();
             next_quarantine_exchange_ = state_.now + quarantine_exchange_interval;
         }
         if (next_purge_ <= state_.now)
--- a/libs/decision_core/src/permit_holder.cpp
+++ b/libs/decision_core/src/permit_holder.cpp
@@ -26,13 +26,24 @@
     {
         return false;
     }
-    pool_ = *pool;
+    request_permit_of(*pool, work_.start_by);
+    return true;
+}
+
+void permit_holder::request_permit_of(const pool_id& pool, time_point start_by)
+{
+    pool_ = pool;
+    work_.start_by = start_by;
     ++step_;
     waiting_ = true;
     queued_at_scheduler_ = false;
     send_request();
     add_timer(timer_kind::permit_reply_due, state_.settings.requests.scheduler_timeout);
-    return true;
+}
+
+bool permit_holder::is_unanswered(const core_timer& due) const
+{
+    return due.kind == timer_kind::permit_reply_due && due.step == step_ && waiting_ && !queued_at_scheduler_;
 }
 
 void permit_holder::send_request()
--- a/libs/decision_core/src/permit_holder.hpp
+++ b/libs/decision_core/src/permit_holder.hpp
@@ -19,6 +19,11 @@
 
     /// @brief Requests a permit. @return false when the service has no known endpoint
     bool request_permit();
+    /// @brief Requests a permit for an endpoint of a pool.
+    /// @param start_by time by which the work must have started
+    void request_permit_of(const pool_id& pool, time_point start_by);
+    /// @brief True if the timer is due and the scheduler has neither queued nor decided the latest request.
+    [[nodiscard]] bool is_unanswered(const core_timer& due) const;
     /// @brief Handles a permit_reply_due or retry_due timer; timers of an older step are ignored.
     /// @return a permit from this instance's local share (see pool_manager) when no scheduler has answered, to be
     /// passed to accept()
--- a/libs/decision_core/src/pool_manager.cpp
+++ b/libs/decision_core/src/pool_manager.cpp
@@ -23,6 +23,11 @@
 constexpr double receiving_endpoint_penalty = 0.5;
 /// Weight of an output token relative to a prompt token in the value by which runs are ordered for their moves.
 constexpr double output_token_weight = 10.0;
+/// Slots assumed for an endpoint of a plain service.
+constexpr std::int64_t plain_slots = 64;
+/// Time between two advances after which the process must have been frozen, so that another instance may have taken
+/// over its pools.
+constexpr duration max_advance_interval{2'000};
 
 bool is_decision_for(const scheduling_decision& decision, const instance_id& to, request_id request)
 {
@@ -139,6 +144,7 @@
             {
                 chooser->set_leaving(entry->endpoint);
             }
+            chooser->set_start_limited(entry->endpoint, state_.start_limits.limit(entry->endpoint).has_value());
         }
     }
     return *chooser;
@@ -163,7 +169,10 @@
             {
                 found->endpoint_leaving(entry->endpoint);
             }
+            send_decisions(
+                found->set_start_limit(entry->endpoint, state_.start_limits.limit(entry->endpoint), state_.now));
         }
+        found->allow_paced_starts(scheduler_instance_of(pool) == state_.self().instance, state_.now);
         state_.log(log_event::scheduler_changed, "scheduling pool " + pool.value());
     }
     return *found;
@@ -191,7 +200,12 @@
 
 void pool_manager::handle(const instance_id& from, const permit_request& request)
 {
-    const auto decisions = get_or_start_scheduler(request.pool).request(from, request, state_.now);
+    scheduler& local_scheduler = get_or_start_scheduler(request.pool);
+    if (request.work.plain)
+    {
+        assume_loads(local_scheduler, request.pool);
+    }
+    const auto decisions = local_scheduler.request(from, request, state_.now);
     bool answered = false;
     for (const auto& decision : decisions)
     {
@@ -234,6 +248,66 @@
     health_changed(notice.endpoint);
 }
 
+void pool_manager::assume_loads(scheduler& local_scheduler, const pool_id& pool)
+{
+    for (const endpoint_entry* entry : state_.directory.endpoints_of(pool))
+    {
+        load_report assumed;
+        assumed.endpoint = entry->endpoint;
+        assumed.as_of = state_.now;
+        assumed.slots = plain_slots;
+        send_decisions(local_scheduler.report(assumed, state_.now));
+    }
+}
+
+void pool_manager::handle(const instance_id& from, const endpoint_limit_notice& notice)
+{
+    const endpoint_entry* entry = state_.directory.find(notice.endpoint);
+    if (entry != nullptr && state_.start_limits.merge(notice, state_.now))
+    {
+        start_limit_changed(*entry, " peer=" + from.value());
+    }
+}
+
+void pool_manager::record_start_limit(const endpoint_id& endpoint, std::optional<double> starts_per_second,
+                                      time_point sent)
+{
+    const endpoint_entry* entry = state_.directory.find(endpoint);
+    if (entry != nullptr && state_.start_limits.record_answer(endpoint, starts_per_second, sent, state_.now))
+    {
+        start_limit_changed(*entry, {});
+    }
+}
+
+void pool_manager::start_limit_changed(const endpoint_entry& entry, const std::string& source)
+{
+    const endpoint_limit_notice notice = state_.start_limits.notice_of(entry.endpoint, state_.now);
+    const std::optional<double> limit = state_.start_limits.limit(entry.endpoint);
+    state_.log(log_event::endpoint_limit_changed,
+               entry.endpoint.value() +
+                   (limit ? " accepts requests_per_s=" + std::to_string(*limit) : std::string{" names no limit"}) +
+                   source);
+    if (const auto found = schedulers_.find(entry.pool); found != schedulers_.end())
+    {
+        send_decisions(found->second->set_start_limit(entry.endpoint, limit, state_.now));
+    }
+    get_or_make_chooser(entry.pool).set_start_limited(entry.endpoint, limit.has_value());
+    const instance_id& scheduling = scheduler_instance_of(entry.pool);
+    if (scheduling != state_.self().instance)
+    {
+        state_.send(scheduling, notice);
+    }
+    state_.spread(notice);
+}
+
+void pool_manager::assign_paced_starts()
+{
+    for (auto& [pool, local_scheduler] : schedulers_)
+    {
+        local_scheduler->allow_paced_starts(scheduler_instance_of(pool) == state_.self().instance, state_.now);
+    }
+}
+
 double pool_manager::health_weight(const endpoint_id& endpoint) const
 {
     return std::min(state_.health.weight(endpoint, state_.now), state_.reported_health.weight(endpoint, state_.now));
@@ -279,6 +353,7 @@
         endpoint_leaving(endpoint);
     }
     scheduler_instances_.clear();
+    assign_paced_starts();
 }
 
 void pool_manager::endpoint_leaving(const endpoint_id& endpoint)
@@ -405,6 +480,7 @@
 void pool_manager::members_changed()
 {
     scheduler_instances_.clear();
+    assign_paced_starts();
     for (auto& [pool, chooser] : local_choosers_)
     {
         chooser->set_instances(static_cast<std::int64_t>(std::max<std::size_t>(1, state_.members.live_count())));
@@ -413,6 +489,15 @@
 
 void pool_manager::advance()
 {
+    if (state_.now - max_advance_interval > last_advance_)
+    {
+        for (auto& [pool, local_scheduler] : schedulers_)
+        {
+            local_scheduler->allow_paced_starts(false, state_.now);
+        }
+        assign_paced_starts();
+    }
+    last_advance_ = state_.now;
     if (move_planner_.next_deadline() <= state_.now)
     {
         move_planner_.expire(state_.now);
--- a/libs/decision_core/src/pool_manager.hpp
+++ b/libs/decision_core/src/pool_manager.hpp
@@ -60,6 +60,13 @@
     /// @brief Handles a peer's health notice; its expiry is bounded by the configured lifetime.
     void handle(const instance_id& from, const endpoint_health_notice& notice);
 
+    /// @brief Handles a peer's notice of an endpoint's limit on requests per second; ignored for an unlisted endpoint.
+    void handle(const instance_id& from, const endpoint_limit_notice& notice);
+    /// @brief Records the limit that an endpoint stated in an answer to this instance, and tells peers of a change.
+    /// @param starts_per_second nothing if the answer named no limit
+    /// @param sent when the request was sent
+    void record_start_limit(const endpoint_id& endpoint, std::optional<double> starts_per_second, time_point sent);
+
     /// @brief Applies a change of the endpoint directory, after the directory itself has been updated.
     void endpoints_changed(const directory_change& change);
     /// @brief Stops new work at a leaving endpoint and, with moves enabled, plans the moves of its runs.
@@ -99,6 +106,12 @@
     /// The pool's scheduler at this instance, which is started if it does not run yet.
     scheduler& get_or_start_scheduler(const pool_id& pool);
     void apply_records(scheduler& local_scheduler) const;
+    /// Assumes a load for endpoints that report none, so that the scheduler uses them.
+    void assume_loads(scheduler& local_scheduler, const pool_id& pool);
+    /// Applies a changed limit and tells the pool's scheduler and other peers.
+    void start_limit_changed(const endpoint_entry& entry, const std::string& source);
+    /// Lets exactly the schedulers of pools that are assigned to this instance grant starts at limited endpoints.
+    void assign_paced_starts();
     void send_decisions(const scheduling_decisions& decisions);
     local_share_chooser& get_or_make_chooser(const pool_id& pool);
     [[nodiscard]] instance_id choose_scheduler_instance(const pool_id& pool) const;
@@ -126,6 +139,7 @@
     std::unordered_map<permit_id, leaving_permit> leaving_permits_;
     std::unordered_map<pool_id, std::unique_ptr<scheduler>> schedulers_;
     std::unordered_map<pool_id, std::unique_ptr<local_share_chooser>> local_choosers_;
+    time_point last_advance_ = never;
     /// Results of choose_scheduler_instance(); cleared when the members or the endpoints change.
     std::unordered_map<pool_id, instance_id> scheduler_instances_;
 };
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -169,6 +169,8 @@
     std::vector<std::uint64_t> prefixes;
     /// Time by which the request must have started at an endpoint.
     time_point start_by = never;
+    /// The service is a plain one: its endpoints report no load, and the work needs no memory.
+    bool plain = false;
 
     friend bool operator==(const work_description&, const work_description&) = default;
 };
@@ -346,6 +348,20 @@
     friend bool operator==(const endpoint_health_notice&, const endpoint_health_notice&) = default;
 };
 
+/// An endpoint has named a limit on its requests per second, or has ended it.
+struct endpoint_limit_notice
+{
+    endpoint_id endpoint;
+    /// False if the endpoint names no limit any more.
+    bool limited = false;
+    /// Requests per second that the endpoint accepts from all instances together.
+    double starts_per_second = 0.0;
+    /// Time since the answer of the endpoint that stated this.
+    duration age{};
+
+    friend bool operator==(const endpoint_limit_notice&, const endpoint_limit_notice&) = default;
+};
+
 /// Requests the changes after a revision from a peer that reads the configuration service directly. The peer answers
 /// at once if it already holds changes, and otherwise after its next read of the configuration service.
 struct source_pull
@@ -413,7 +429,8 @@
     std::variant<probe, probe_ack, probe_request, member_updates, configuration_digest, configuration_pull,
                  configuration_records, permit_request, permit_grant, permit_denial, permit_withdrawal, permit_return,
                  permit_registration, order_forward, order_reply, budget_loan, budget_request, quarantine_notice,
-                 permit_queued, stream_takeover, endpoint_health_notice, source_pull, source_answer>;
+                 permit_queued, stream_takeover, endpoint_health_notice, source_pull, source_answer,
+                 endpoint_limit_notice>;
 
 /// @brief A peer message with its sender.
 struct peer_envelope
--- a/libs/routing/tests/endpoint_start_limits_test.cpp
+++ b/libs/routing/tests/endpoint_start_limits_test.cpp
@@ -3,6 +3,7 @@
 #include <parsleyshift/routing/endpoint_start_limits.hpp> // endpoint_start_limits
 
 using namespace parsleyshift;
+using namespace parsleyshift::literals;
 
 namespace
 {
@@ -33,3 +34,17 @@
     CHECK_FALSE(limits.record_answer(endpoint, std::nullopt, at_ms(9), at_ms(20)));
     CHECK(limits.limit(endpoint) == 2.0);
 }
+
+// Guards against a notice that is older than the latest answer and undoes it.
+TEST(endpoint_start_limits, take_the_later_of_answers_and_notices)
+{
+    endpoint_start_limits limits;
+    CHECK_FALSE(limits.merge({endpoint, false, 0.0, 0_ms}, at_ms(100)));
+    CHECK(limits.merge({endpoint, true, 2.0, 50_ms}, at_ms(100)));
+    CHECK_FALSE(limits.merge({endpoint, false, 0.0, 70_ms}, at_ms(110)));
+    CHECK(limits.limit(endpoint) == 2.0);
+    CHECK(limits.merge({endpoint, false, 0.0, 10_ms}, at_ms(110)));
+    CHECK_FALSE(limits.limit(endpoint).has_value());
+    LONGS_EQUAL(1, limits.notices(at_ms(110)).size());
+    LONGS_EQUAL(0, limits.notices(at_ms(60'000)).size());
+}
--- a/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
@@ -86,6 +86,22 @@
     return out;
 }
 
+template <queue_order QueueOrder, endpoint_choice EndpointChoice>
+scheduling_decisions basic_pool_scheduler<QueueOrder, EndpointChoice>::set_start_limit(
+    const endpoint_id& endpoint, std::optional<double> starts_per_second, time_point now)
+{
+    scheduling_decisions out;
+    endpoints_.set_start_limit(endpoint, starts_per_second, now);
+    dispatch(now, endpoints_.find(endpoint), out);
+    return out;
+}
+
+template <queue_order QueueOrder, endpoint_choice EndpointChoice>
+void basic_pool_scheduler<QueueOrder, EndpointChoice>::allow_paced_starts(bool allowed, time_point now)
+{
+    endpoints_.allow_paced_starts(allowed, now);
+}
+
 template <queue_order QueueOrder, endpoint_choice EndpointChoice>
 scheduling_decisions basic_pool_scheduler<QueueOrder, EndpointChoice>::report(const load_report& report, time_point now)
 {
@@ -222,7 +238,7 @@
 time_point basic_pool_scheduler<QueueOrder, EndpointChoice>::next_deadline() const
 {
     const time_point start = deadlines_.empty() ? never : deadlines_.begin()->time;
-    return std::min({start, endpoints_.next_expiry(), slow_start_ends_, next_prefill_capacity_});
+    return std::min({start, endpoints_.next_expiry(), slow_start_ends_, next_capacity_});
 }
 
 template <queue_order QueueOrder, endpoint_choice EndpointChoice>
@@ -372,7 +388,8 @@
     while (queued_count_ > 0 && grant_next(now, changed_endpoint, out))
     {
     }
-    next_prefill_capacity_ = queued_count_ > 0 ? endpoints_.next_prefill_capacity(now) : never;
+    next_capacity_ =
+        queued_count_ > 0 ? std::min(endpoints_.next_prefill_capacity(now), endpoints_.next_paced_start(now)) : never;
 }
 
 template <queue_order QueueOrder, endpoint_choice EndpointChoice>
--- a/libs/scheduling/include/parsleyshift/scheduling/endpoint_table.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/endpoint_table.hpp
@@ -9,6 +9,7 @@
 #include <parsleyshift/scheduling/memory_forecast.hpp>    // stream_growth
 #include <parsleyshift/scheduling/queue_order.hpp>        // request_key
 #include <parsleyshift/scheduling/scheduler_settings.hpp> // scheduler_settings
+#include <parsleyshift/scheduling/start_pacer.hpp>        // start_pacer
 
 #include <cstddef>       // size_t
 #include <cstdint>       // int64_t
@@ -86,6 +87,15 @@
     /// @brief Sets the health weight of an endpoint.
     /// @param weight clamped to [0, 1]; an endpoint of weight 0 gets no requests
     void set_health(const endpoint_id& endpoint, double weight);
+    /// @brief Sets the limit on the requests per second at an endpoint.
+    /// @param starts_per_second nothing to end the limit
+    void set_start_limit(const endpoint_id& endpoint, std::optional<double> starts_per_second, time_point now);
+    /// @brief Allows or forbids grants at endpoints with a start limit. When they are allowed again, each endpoint gets
+    /// half of its limit for scheduler_settings::takeover_caution.
+    void allow_paced_starts(bool allowed, time_point now);
+    /// @brief Earliest time at which an endpoint with a start limit allows a start; `never` when no endpoint waits for
+    /// one. Linear in the endpoints.
+    [[nodiscard]] time_point next_paced_start(time_point now) const;
     /// @brief Applies a load report; ignored if not newer than the last one or from an unknown endpoint. Linear in the
     /// endpoint's permits.
     void report(const load_report& report, time_point now);
@@ -105,8 +115,8 @@
     /// @brief Time when the next permit expires; `never` without permits. Constant time.
     [[nodiscard]] time_point next_expiry() const;
 
-    /// @brief Whether an endpoint has the slots, memory and prefill capacity for a request now. O(n log n) in the
-    /// endpoint's permits, usually O(n).
+    /// @brief Whether an endpoint has the slots, memory and prefill capacity for a request now, and allows its start.
+    /// O(n log n) in the endpoint's permits, usually O(n).
     [[nodiscard]] bool fits(index endpoint_index, const resource_demand& demand, time_point now);
     /// @brief Larger of slot and memory utilization, divided by the health weight; 0 when idle, about 1 when full.
     /// Constant time.
@@ -189,6 +199,7 @@
         double inter_token_latency_ms = 0.0;
         /// Expected end of the prefill of all prompts sent to the endpoint.
         time_point prefill_until;
+        start_pacer pacer;
         std::vector<active_permit*> permits;
         /// Permits that ended after the last report was measured; a report in transit may still count them.
         std::deque<ended_permit> recent_ends;
@@ -229,6 +240,7 @@
     std::vector<stream_growth> all_streams_;
     std::vector<stream_growth> shared_streams_;
     bool slow_start_ = true;
+    bool paced_starts_allowed_ = false;
 };
 
 } // namespace parsleyshift
--- a/libs/scheduling/include/parsleyshift/scheduling/local_share_chooser.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/local_share_chooser.hpp
@@ -35,6 +35,9 @@
     void remove_endpoint(const endpoint_id& endpoint);
     /// @brief Excludes an endpoint from choose().
     void set_leaving(const endpoint_id& endpoint);
+    /// @brief Excludes an endpoint that limits its requests per second from choose(): only the scheduler's grants count
+    /// towards the limit.
+    void set_start_limited(const endpoint_id& endpoint, bool limited);
     /// @param weight in [0, 1]; 0 for an ejected endpoint
     void set_health(const endpoint_id& endpoint, double weight);
     /// @brief Updates slots, memory capacity, queue length and leaving state of an endpoint; choose() excludes an
@@ -62,6 +65,7 @@
         std::int64_t waiting = 0;
         double health = 1.0;
         bool leaving = false;
+        bool start_limited = false;
     };
 
     /// Part of `total` slots of an endpoint that this instance may use.
--- a/libs/scheduling/include/parsleyshift/scheduling/pool_scheduler.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/pool_scheduler.hpp
@@ -73,6 +73,13 @@
     /// @brief Sets the health weight of an endpoint.
     /// @param weight in [0, 1] from outlier detection; 0 for an ejected endpoint, which gets no requests
     scheduling_decisions set_health(const endpoint_id& endpoint, double weight, time_point now);
+    /// @brief Sets the limit on the requests per second at an endpoint.
+    /// @param starts_per_second nothing to end the limit
+    scheduling_decisions set_start_limit(const endpoint_id& endpoint, std::optional<double> starts_per_second,
+                                         time_point now);
+    /// @brief Allows or forbids grants at endpoints with a start limit; forbidden at first. Only one scheduler of the
+    /// pool may grant them.
+    void allow_paced_starts(bool allowed, time_point now);
     /// @brief Applies a load report; ignored if not newer than the last one or from an unknown endpoint.
     scheduling_decisions report(const load_report& report, time_point now);
 
@@ -196,8 +203,9 @@
     std::uint64_t next_sequence_ = 1;
     std::uint64_t next_permit_ = 0;
     time_point slow_start_ends_;
-    /// Time when the prefill backlog of an endpoint allows another request; `never` without queued requests.
-    time_point next_prefill_capacity_ = never;
+    /// Time when the prefill backlog or the start limit of an endpoint allows another request; `never` without queued
+    /// requests.
+    time_point next_capacity_ = never;
 };
 
 /// @brief Pool scheduler with fair queueing by customer and no preference among endpoints.
--- a/libs/scheduling/include/parsleyshift/scheduling/scheduler_settings.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/scheduler_settings.hpp
@@ -45,6 +45,9 @@
     duration permit_lifetime{30'000};
     /// Time after the start of the scheduler during which endpoints without a load report get no requests.
     duration slow_start{1'000};
+    /// Time after a scheduler has taken over a pool in which endpoints that limit their requests per second get half of
+    /// the limit: the previous scheduler may still grant starts.
+    duration takeover_caution{3'000};
     /// Slots assumed for an endpoint that has not sent a load report.
     std::int64_t default_slots = 2;
     /// Maximum number of endpoints examined for one request; a larger pool is sampled.
--- a/libs/scheduling/src/endpoint_table.cpp
+++ b/libs/scheduling/src/endpoint_table.cpp
@@ -92,6 +92,38 @@
     }
 }
 
+void endpoint_table::set_start_limit(const endpoint_id& endpoint, std::optional<double> starts_per_second,
+                                     time_point now)
+{
+    if (const auto endpoint_index = find(endpoint))
+    {
+        entries_[*endpoint_index].pacer.set_limit(starts_per_second, now);
+    }
+}
+
+void endpoint_table::allow_paced_starts(bool allowed, time_point now)
+{
+    if (allowed && !paced_starts_allowed_)
+    {
+        for (endpoint_entry& entry : entries_)
+        {
+            entry.pacer.restart(now, settings_.takeover_caution);
+        }
+    }
+    paced_starts_allowed_ = allowed;
+}
+
+time_point endpoint_table::next_paced_start(time_point now) const
+{
+    time_point next = never;
+    for (const endpoint_entry& entry : entries_)
+    {
+        const bool waits = entry.in_use && paced_starts_allowed_ && !entry.pacer.may_start(now);
+        next = waits ? std::min(next, entry.pacer.next_start()) : next;
+    }
+    return next;
+}
+
 void endpoint_table::report(const load_report& report, time_point now)
 {
     const auto endpoint_index = find(report.endpoint);
@@ -144,6 +176,10 @@
     }
     expiries_.insert(expiry{permit.expires, permit.id});
     entry.permits.push_back(&stored->second);
+    if (!already_reported)
+    {
+        entry.pacer.record_start(permit.granted);
+    }
     entry.shared_permits += permit.work_lane == lane::shared ? 1 : 0;
     entry.expected_memory += permit.prompt_tokens + permit.expected_tokens;
     if (already_reported && entry.unattributed_running > 0)
@@ -288,7 +324,9 @@
 bool endpoint_table::fits(index endpoint_index, const resource_demand& demand, time_point now)
 {
     endpoint_entry& entry = entries_[endpoint_index];
-    if (!accepts_work(entry) || !slots_fit(entry, demand) || entry.prefill_until - now > settings_.max_prefill_backlog)
+    const bool may_start = entry.pacer.may_start(now) && (paced_starts_allowed_ || !entry.pacer.limited());
+    if (!accepts_work(entry) || !may_start || !slots_fit(entry, demand) ||
+        entry.prefill_until - now > settings_.max_prefill_backlog)
     {
         return false;
     }
--- a/libs/scheduling/src/local_share_chooser.cpp
+++ b/libs/scheduling/src/local_share_chooser.cpp
@@ -35,6 +35,15 @@
     }
 }
 
+void local_share_chooser::set_start_limited(const endpoint_id& endpoint, bool limited)
+{
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end())
+    {
+        found->second.start_limited = limited;
+    }
+}
+
 void local_share_chooser::set_health(const endpoint_id& endpoint, double weight)
 {
     const auto found = endpoints_.find(endpoint);
@@ -111,7 +120,7 @@
 bool local_share_chooser::has_room(const endpoint_id& endpoint, const endpoint_state& state,
                                    std::int64_t expected_memory) const
 {
-    if (state.leaving || state.health <= 0.0 || state.waiting > 0)
+    if (state.leaving || state.start_limited || state.health <= 0.0 || state.waiting > 0)
     {
         return false;
     }
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -98,6 +98,7 @@
     8: list<i64> prefixes
     9: i64 start_by = 9223372036854775807
     10: i64 expected_tokens
+    11: bool plain
 }
 
 struct permit_request
@@ -245,6 +246,14 @@
     10: i64 era
 }
 
+struct endpoint_limit_notice
+{
+    1: string endpoint
+    2: bool limited
+    3: double starts_per_second
+    4: i64 age
+}
+
 union message
 {
     1: probe probe_value
@@ -270,6 +279,7 @@
     21: endpoint_health_notice endpoint_health_notice_value
     22: source_pull source_pull_value
     23: source_answer source_answer_value
+    24: endpoint_limit_notice endpoint_limit_notice_value
 }
 
 struct envelope
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -288,6 +288,7 @@
     copy(wire.work_class, value.work_class);
     copy(wire.prompt_tokens, value.prompt_tokens);
     copy(wire.expected_tokens, value.expected_tokens);
+    copy(wire.plain, value.plain);
     copy(wire.max_tokens, value.max_tokens);
     copy(wire.prefixes, value.prefixes);
     copy(wire.start_by, value.start_by);
@@ -457,6 +458,14 @@
     copy(wire.era, value.era);
 }
 
+void fields(auto copy, auto& wire, like<endpoint_limit_notice> auto& value)
+{
+    copy(wire.endpoint, value.endpoint);
+    copy(wire.limited, value.limited);
+    copy(wire.starts_per_second, value.starts_per_second);
+    copy(wire.age, value.age);
+}
+
 /// @brief Calls `visit(member, message_type, is_set)` for each member of the union; the result says whether it is set.
 void for_each_member(wire_format::message& m, auto visit)
 {
@@ -492,6 +501,8 @@
         visit(m.endpoint_health_notice_value, message_type<endpoint_health_notice>{}, set.endpoint_health_notice_value);
     set.source_pull_value = visit(m.source_pull_value, message_type<source_pull>{}, set.source_pull_value);
     set.source_answer_value = visit(m.source_answer_value, message_type<source_answer>{}, set.source_answer_value);
+    set.endpoint_limit_notice_value =
+        visit(m.endpoint_limit_notice_value, message_type<endpoint_limit_notice>{}, set.endpoint_limit_notice_value);
 }
 
 } // namespace parsleyshift::detail
--- a/libs/wire/tests/peer_codec_test.cpp
+++ b/libs/wire/tests/peer_codec_test.cpp
@@ -199,6 +199,10 @@
     {
         m = {name<pool_id>(), name<endpoint_id>(), static_cast<double>(any<std::int32_t>()), time()};
     }
+    void fill(endpoint_limit_notice& m) const
+    {
+        m = {name<endpoint_id>(), any<bool>(), static_cast<double>(any<std::int32_t>()), duration{any<std::int32_t>()}};
+    }
     void fill(source_pull& m) const
     {
         m = {any<std::uint64_t>(), number<revision>(), any<bool>(), any<bool>(), any<bool>()};
