--- a/libs/decision_core/tests/core_fleet.hpp
+++ b/libs/decision_core/tests/core_fleet.hpp
@@ -7,8 +7,9 @@
 #include <algorithm> // find
 #include <cstdint>   // uint64_t
 #include <map>       // map
+#include <set>       // set
 #include <string>    // string
-#include <utility>   // move
+#include <utility>   // exchange, move
 #include <vector>    // vector
 
 namespace parsleyshift::test
@@ -29,6 +30,23 @@
         /// Endpoints of the plain service, d1 and so on; the engines are w1 and so on.
         int plain_endpoints = 0;
     };
+    /// @brief What becomes of an instance's connections to endpoints.
+    enum class link_state
+    {
+        sound,
+        /// Nothing arrives any more, without an error.
+        silent,
+        /// Connections are reset, and new ones are not established.
+        reset,
+        /// Open connections work, and 19 of 20 attempts need a new one, which is refused.
+        new_refused,
+    };
+    /// @brief How the requests that were sent to a group of instances ended.
+    struct tally
+    {
+        int sent = 0;
+        int served = 0;
+    };
     /// @brief A request that reached an endpoint which names a limit.
     struct limited_arrival
     {
@@ -93,6 +111,29 @@
         }
         return most;
     }
+    /// @brief Changes the links of an instance to all endpoints.
+    void set_links(std::size_t index, link_state links)
+    {
+        cores_[index].links = links;
+        for (const auto& [attempt, each] : std::map{runs_})
+        {
+            if (links == link_state::reset && each.core == cores_[index].name)
+            {
+                runs_.erase(attempt);
+                feed(index, attempt_failed{attempt, attempt_failure::link_broken, "reset"});
+            }
+        }
+    }
+    /// @brief Lets an endpoint of the plain service answer nothing until a time.
+    void silence_endpoint(const std::string& endpoint, time_point until)
+    {
+        silent_until_[endpoint] = until;
+    }
+    /// @brief Results of the requests sent since the last call, for instances with broken links or sound ones.
+    tally take_tally(bool broken_links)
+    {
+        return std::exchange(tallies_[broken_links], {});
+    }
     [[nodiscard]] time_point now() const
     {
         return now_;
@@ -139,6 +180,8 @@
     static constexpr duration limit_notice{500};
     /// Time from the arrival of a request at a plain endpoint to its answer.
     static constexpr duration plain_answer_time{15};
+    static constexpr duration probe_timeout{600};
+    static constexpr duration connect_timeout{1'000};
     static constexpr duration step{5};
     static constexpr duration message_delay{10};
     /// Time from the arrival of a request at an engine to its first event.
@@ -152,6 +195,7 @@
         std::string name;
         std::string peer_address;
         forwarding_core decisions;
+        link_state links = link_state::sound;
     };
     struct run
     {
@@ -238,6 +282,8 @@
         deadly_requests_[request_count_] = deadly;
         request.prompt_parts = std::move(parts);
         sent_at_[request_count_] = now_;
+        sent_to_broken_[request_count_] = cores_[index].links != link_state::sound;
+        ++tallies_[sent_to_broken_[request_count_]].sent;
         feed(index, request);
     }
     void feed(std::size_t index, const event& input)
@@ -269,14 +315,25 @@
         {
             begin_run(index, *attempt);
         }
+        else if (const auto* delivered = std::get_if<deliver_forward>(&requested))
+        {
+            count_served(delivered->request);
+        }
         else if (const auto* cancel = std::get_if<cancel_forward>(&requested))
         {
             runs_.erase(cancel->attempt);
         }
         else if (const auto* probe = std::get_if<probe_endpoint>(&requested))
         {
-            const auto result = is_running(probe->endpoint) ? probe_result::alive : probe_result::refused;
-            schedule(index, message_delay, endpoint_probed{probe->endpoint, result});
+            const bool is_listed = is_plain(probe->endpoint) || is_running(probe->endpoint);
+            auto result = is_listed ? probe_result::alive : probe_result::refused;
+            if (cores_[index].links != link_state::sound)
+            {
+                const bool refused = cores_[index].links == link_state::new_refused;
+                result = refused ? probe_result::refused : probe_result::unknown;
+            }
+            schedule(index, result == probe_result::unknown ? probe_timeout : message_delay,
+                     endpoint_probed{probe->endpoint, result});
         }
         else if (const auto* rejected = std::get_if<request_rejected>(&requested))
         {
@@ -289,8 +346,41 @@
             send(index, std::move(*message));
         }
     }
+    [[nodiscard]] bool is_plain(const endpoint_id& id) const
+    {
+        return std::find(plain_endpoints_.begin(), plain_endpoints_.end(), id.value()) != plain_endpoints_.end();
+    }
+    /// Counts a request once, when the first part of its answer goes to the caller.
+    void count_served(request_id request)
+    {
+        if (served_.insert(request.value()).second)
+        {
+            ++tallies_[sent_to_broken_[request.value()]].served;
+        }
+    }
+    /// Lets an attempt fail as the links of its instance make it fail.
+    /// @return false if the links are sound
+    bool fails_on_link(std::size_t index, const start_forward& begun)
+    {
+        const link_state links = cores_[index].links;
+        const bool needs_connection = links == link_state::new_refused && random_.index(20) != 0;
+        if (needs_connection || links == link_state::reset)
+        {
+            schedule(index, needs_connection ? message_delay : connect_timeout,
+                     attempt_failed{begun.attempt, attempt_failure::connect_failed, "not connected"});
+        }
+        if (needs_connection || links == link_state::reset || links == link_state::silent)
+        {
+            return true;
+        }
+        return silent_until_[begun.endpoint.value()] > now_;
+    }
     void begin_run(std::size_t index, const start_forward& begun)
     {
+        if (fails_on_link(index, begun))
+        {
+            return;
+        }
         const bool deadly = deadly_requests_[begun.request.value()];
         record_arrival(index, begun.endpoint);
         if (begun.kind != route_kind::stream)
@@ -369,10 +459,20 @@
             deliver(each);
         }
     }
+    [[nodiscard]] bool is_silent(const std::string& name) const
+    {
+        return std::any_of(cores_.begin(), cores_.end(),
+                           [&name](const core& each) { return each.name == name && each.links == link_state::silent; });
+    }
     void deliver(const pending_event& arrived)
     {
         const auto run_of = runs_.find(arrived.attempt);
         const bool needs_run = arrived.attempt != attempt_id{};
+        const bool is_lost = needs_run && run_of != runs_.end() && is_silent(run_of->second.core);
+        if (is_lost)
+        {
+            return;
+        }
         if (needs_run && run_of == runs_.end())
         {
             return;
@@ -437,6 +537,10 @@
     std::map<attempt_id, run> runs_;
     std::map<std::uint64_t, bool> deadly_requests_;
     std::map<std::uint64_t, time_point> sent_at_;
+    std::map<std::uint64_t, bool> sent_to_broken_;
+    std::set<std::uint64_t> served_;
+    std::map<bool, tally> tallies_;
+    std::map<std::string, time_point> silent_until_;
     std::vector<std::string> plain_endpoints_;
     std::map<endpoint_id, std::optional<double>> limits_;
     /// First time at which an instance passed on an answer with the limit of an endpoint.
