Pass requests on to other instances when no endpoint answers this one

Plain requests ended at their deadline, streams after four attempts.

Cause: an attempt without an answer was taken for a fault of its endpoint only, at each endpoint for itself. The instance ejected and restored the endpoints one by one and went on to send requests and to be named in entry answers. The class of fault: the same observation at several endpoints says something of the observer. It also decided crashes: an engine that refused a probe counted as dead when only new connections of this instance were refused.

Change: when nothing arrives from any endpoint for 0.5 s since an attempt was sent, or 60 ms since one failed, up to three endpoints are probed; when none of two or more answers, the links count as lost until any endpoint answers. Meanwhile the instance is left out of entry answers and passes requests on to an instance that reaches endpoints, which handles them like a caller's: it checks the key, counts attempts and budgets and gets the permit. Only its rejection proves that a request did not run; a relayed request is not relayed again; a caller that leaves closes the connection to the other instance. A request also takes this way after two attempts without a connection. Without another instance it is rejected at once. What was measured of the endpoints' health is forgotten, failures in doubt count against no endpoint, and refused probes count as deaths only when another endpoint answers.

--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -3,8 +3,9 @@
 #include <parsleyshift/core/hash.hpp>           // mix_hash, stable_hash
 #include <parsleyshift/routing/retry_after.hpp> // retry_after
 
-#include <algorithm> // none_of
+#include <algorithm> // find, none_of
 #include <string>    // to_string
+#include <utility>   // exchange, move, swap
 #include <variant>   // variant
 
 namespace parsleyshift::detail
@@ -187,16 +188,89 @@
 
 void core_state::handle(const endpoint_probed& probed)
 {
-    probed_.erase(probed.endpoint);
-    if (probed.result == probe_result::refused)
-    {
-        endpoint_died(probed.endpoint);
-    }
-    else if (probed.result == probe_result::alive)
+    const bool has_lost_run = probed_.erase(probed.endpoint) > 0;
+    if (probed.result == probe_result::alive)
     {
+        endpoint_answered();
         quarantine.endpoint_survived(probed.endpoint);
         blocked_parts.endpoint_survived(probed.endpoint);
+        return;
+    }
+    if (reachability.record_unanswered_probe(probed.endpoint, now))
+    {
+        log(log_event::links_lost, "no endpoint answers");
+        refused_in_doubt_.clear();
+        links_lost = true;
+    }
+    if (probed.result != probe_result::refused || !has_lost_run || reachability.lost())
+    {
+        return;
+    }
+    if (reachability.in_doubt(now))
+    {
+        refused_in_doubt_.push_back(probed.endpoint);
+        return;
+    }
+    endpoint_died(probed.endpoint);
+}
+
+void core_state::endpoint_answered()
+{
+    if (reachability.record_answer())
+    {
+        log(log_event::links_regained, "endpoints answer again");
+    }
+    for (const endpoint_id& refused : std::exchange(refused_in_doubt_, {}))
+    {
+        endpoint_died(refused);
+    }
+}
+
+void core_state::record_endpoint_failure(const endpoint_id& endpoint)
+{
+    if (!reachability.in_doubt(now))
+    {
+        health.record_failure(endpoint, now);
+    }
+}
+
+void core_state::probe_links()
+{
+    std::vector<const endpoint_entry*> usable;
+    for (const endpoint_entry* entry : directory.endpoints())
+    {
+        if (!entry->leaving && !start_limits.limit(entry->endpoint))
+        {
+            usable.push_back(entry);
+        }
+    }
+    std::vector<endpoint_id> probed;
+    while (!usable.empty() && probed.size() < endpoint_reachability::probes_per_round)
+    {
+        std::swap(usable[random.index(usable.size())], usable.back());
+        probed.push_back(usable.back()->endpoint);
+        emit(probe_endpoint{usable.back()->endpoint, usable.back()->address});
+        usable.pop_back();
+    }
+    reachability.begin_round(std::move(probed), now);
+}
+
+const member_update* core_state::draw_relay(const std::vector<instance_id>& excluded)
+{
+    std::vector<const member_update*> near;
+    std::vector<const member_update*> far;
+    for (const member_update& member : members.members())
+    {
+        const bool is_excluded = std::find(excluded.begin(), excluded.end(), member.instance) != excluded.end();
+        const bool has_links = member.state == member_state::alive &&
+                               member.busy_percent <= settings.entry.overloaded_percent && !member.address.empty();
+        if (member.instance != self().instance && has_links && !is_excluded)
+        {
+            (member.region == self().region ? near : far).push_back(&member);
+        }
     }
+    const auto& reachable = near.empty() ? far : near;
+    return reachable.empty() ? nullptr : reachable[random.index(reachable.size())];
 }
 
 void core_state::merge(const quarantine_notice& notice)
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -17,6 +17,7 @@
 #include <parsleyshift/routing/endpoint_costs.hpp>            // endpoint_chooser
 #include <parsleyshift/routing/endpoint_directory.hpp>        // endpoint_directory
 #include <parsleyshift/routing/endpoint_health.hpp>           // endpoint_health
+#include <parsleyshift/routing/endpoint_reachability.hpp>     // endpoint_reachability
 #include <parsleyshift/routing/endpoint_start_limits.hpp>     // endpoint_start_limits
 #include <parsleyshift/routing/in_flight_tracker.hpp>         // in_flight_tracker
 #include <parsleyshift/routing/peer_health.hpp>               // peer_health
@@ -100,6 +101,9 @@
     endpoint_health health;
     peer_health reported_health;
     endpoint_start_limits start_limits;
+    endpoint_reachability reachability;
+    /// The links to all endpoints were lost, and the requests in progress have not been notified.
+    bool links_lost = false;
     in_flight_tracker ledger;
     prefix_index prefixes;
     endpoint_candidates candidates;
@@ -163,6 +167,16 @@
     void endpoint_died(const endpoint_id& endpoint);
     /// @brief Requests a probe of an endpoint unless one is in progress.
     void probe(const endpoint_id& endpoint, const std::string& address);
+    /// @brief Records that something arrived from an endpoint.
+    void endpoint_answered();
+    /// @brief Counts a failure against an endpoint, unless it may be this instance that has lost its links.
+    void record_endpoint_failure(const endpoint_id& endpoint);
+    /// @brief Probes some endpoints to find out whether this instance reaches any.
+    void probe_links();
+    /// @brief Chooses another instance that reaches endpoints, in this region if there is one.
+    /// @param excluded instances that are not chosen
+    /// @return nullptr when there is none
+    const member_update* draw_relay(const std::vector<instance_id>& excluded);
     /// @brief Handles the result of a probe.
     void handle(const endpoint_probed& probed);
     /// @brief Merges a peer's quarantine notice and forwards it when it was new.
@@ -193,8 +207,10 @@
     /// A peer chosen at random; null when there is none or the chosen one is not alive.
     const member_update* draw_live_peer();
 
-    /// Endpoints with a probe in progress.
+    /// Endpoints with a probe in progress because a run there has lost its connection.
     std::unordered_set<endpoint_id> probed_;
+    /// Endpoints that refused such a probe while it was in doubt whether this instance reaches any.
+    std::vector<endpoint_id> refused_in_doubt_;
     std::uint64_t attempt_prefix_;
     std::uint64_t attempt_count_ = 0;
 };
--- a/libs/decision_core/src/forward_manager.cpp
+++ b/libs/decision_core/src/forward_manager.cpp
@@ -199,15 +199,12 @@
 
 void forward_manager::reject_blocked()
 {
-    std::vector<request_id> requests;
-    for (const auto& [request, active] : active_)
-    {
-        requests.push_back(request);
-    }
-    for (const request_id request : requests)
-    {
-        update(request, [](forwarded_request& active) { active.reject_if_blocked(); });
-    }
+    update_all([](forwarded_request& active) { active.reject_if_blocked(); });
+}
+
+void forward_manager::on_links_lost()
+{
+    update_all([](forwarded_request& active) { active.on_links_lost(); });
 }
 
 void forward_manager::on_schedulers_changed()
--- a/libs/decision_core/src/forward_manager.hpp
+++ b/libs/decision_core/src/forward_manager.hpp
@@ -7,6 +7,7 @@
 #include <memory>        // unique_ptr
 #include <optional>      // optional
 #include <unordered_map> // unordered_map
+#include <vector>        // vector
 
 namespace parsleyshift::detail
 {
@@ -35,6 +36,8 @@
     void handle(const permit_grant& grant, const instance_id& from);
     /// @brief Rejects the requests whose answers have not begun and whose prompts have a part that is now blocked.
     void reject_blocked();
+    /// @brief Notifies all requests that this instance has lost its links to all endpoints.
+    void on_links_lost();
     /// @brief Notifies all requests that the schedulers of pools may have moved to other instances.
     void on_schedulers_changed();
 
@@ -82,6 +85,21 @@
     }
 
   private:
+    /// Calls `handler` with each request in progress, and removes those that have finished.
+    template <class Handler>
+    void update_all(Handler handler)
+    {
+        std::vector<request_id> requests;
+        for (const auto& [request, active] : active_)
+        {
+            requests.push_back(request);
+        }
+        for (const request_id request : requests)
+        {
+            update(request, handler);
+        }
+    }
+
     result<admission> admit(const forward_request& request);
     result<key_holder> authenticate(const forward_request& request, const route& matched) const;
     [[nodiscard]] error stale_configuration_error(std::string_view subject) const;
--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -6,7 +6,7 @@
 #include <parsleyshift/quarantine/request_fingerprint.hpp> // prompt_part_fingerprint
 
 #include <algorithm> // find, max, min
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 namespace parsleyshift::detail
 {
@@ -16,6 +16,10 @@
 /// Number of gaps between events needed for an estimate of the usual gap. At 28 ms per event, 12 gaps take a third of a
 /// second, in which an engine makes at least one step that processes no prompt.
 constexpr int min_gap_samples = 12;
+/// Attempts without a connection after which a request is passed on to another instance.
+constexpr int max_connect_failures = 2;
+/// Other instances that a request is passed on to, one after the other.
+constexpr std::size_t max_relays = 3;
 /// Part of a plain request's latency objective for which it may wait for a start at a limited endpoint.
 constexpr int plain_start_wait_divisor = 2;
 /// Expected wait from which the retry_after of a rejected request is drawn.
@@ -148,6 +152,18 @@
 
 void forwarded_request::select_endpoint()
 {
+    if (needs_relay() && start_relay())
+    {
+        return;
+    }
+    if (state_.reachability.lost())
+    {
+        reject(
+            make_error(error_kind::no_endpoint,
+                       "this instance reaches no endpoint, and no other instance can take the request; send it later",
+                       state_.draw_retry_after(default_expected_wait)));
+        return;
+    }
     if (!admission_.capacity)
     {
         select_plain_endpoint();
@@ -160,6 +176,63 @@
     }
 }
 
+bool forwarded_request::needs_relay() const
+{
+    const bool lacks_links = state_.reachability.lost() || connect_failures_ >= max_connect_failures;
+    return lacks_links && !request_.relayed && relays_.size() < max_relays;
+}
+
+bool forwarded_request::start_relay()
+{
+    const member_update* peer = state_.draw_relay(relays_);
+    if (peer == nullptr)
+    {
+        return false;
+    }
+    if (permit_)
+    {
+        permit_->release(0, false);
+    }
+    relays_.push_back(peer->instance);
+    relaying_ = true;
+    ++attempt_count_;
+    ++possible_runs_;
+    endpoint_ = endpoint_id{};
+    endpoint_address_ = peer->address;
+    attempt_ = state_.next_attempt(attempt_owner::forward, request_.request);
+    attempt_started_at_ = state_.now;
+    last_progress_at_ = state_.now;
+    tracker_.attempt_sent();
+    emit_attempt(std::nullopt, "relay=" + peer->instance.value());
+    return true;
+}
+
+void forwarded_request::on_links_lost()
+{
+    if (relaying_ || answer_delivered_)
+    {
+        return;
+    }
+    if (attempt_ == attempt_id{})
+    {
+        ++retry_timer_step_;
+        if (permit_)
+        {
+            permit_->release(0, false);
+        }
+        select_endpoint();
+        return;
+    }
+    const bool may_repeat = admission_.matched_route.kind == route_kind::idempotent &&
+                            possible_runs_ < admission_.matched_route.max_attempts;
+    if (may_repeat && state_.budget_of(admission_.service).try_spend())
+    {
+        state_.emit(cancel_forward{attempt_});
+        end_attempt(run_end::stopped, false);
+        select_endpoint();
+    }
+}
+
 void forwarded_request::select_plain_endpoint()
 {
     const auto chosen = choose_plain_endpoint(state_, admission_.service, tried_endpoints_, denied_endpoints_);
@@ -290,7 +363,14 @@
     {
         pools_.attempt_started(permit_->pool(), endpoint_, expected_memory_);
     }
+    state_.reachability.record_sent(state_.now);
+    emit_attempt(std::move(continuation), "endpoint=" + endpoint_.value());
+}
+
+void forwarded_request::emit_attempt(std::optional<run_continuation> continuation, const std::string& receiver)
+{
     start_forward command;
+    command.relayed = relaying_;
     command.attempt = attempt_;
     command.request = request_.request;
     command.endpoint = endpoint_;
@@ -303,7 +383,7 @@
     command.deadline = deadline_;
     command.continuation = std::move(continuation);
     state_.emit(std::move(command));
-    state_.log(log_event::request_sent, "id=" + request_.caller_id + " endpoint=" + endpoint_.value() + " attempt=" +
+    state_.log(log_event::request_sent, "id=" + request_.caller_id + " " + receiver + " attempt=" +
                                             std::to_string(attempt_count_) + " moves=" + std::to_string(move_count_) +
                                             " waited_ms=" + std::to_string((state_.now - arrived_at_).count()));
 }
@@ -314,6 +394,12 @@
     {
         return;
     }
+    if (std::exchange(relaying_, false))
+    {
+        state_.attempts.erase(attempt_);
+        attempt_ = attempt_id{};
+        return;
+    }
     state_.record_attempt_end(attempt_, endpoint_, expected_memory_, ending);
     cancel_move();
     if (permit_)
@@ -327,7 +413,11 @@
 void forwarded_request::on_answer(const forward_answered& answer)
 {
     tracker_.attempt_ran();
-    pools_.record_start_limit(endpoint_, answer.starts_per_second, attempt_started_at_);
+    if (!relaying_)
+    {
+        state_.endpoint_answered();
+        pools_.record_start_limit(endpoint_, answer.starts_per_second, attempt_started_at_);
+    }
     if (answer_delivered_)
     {
         // The head of the caller's answer was delivered before the move; only the stream is resumed.
@@ -344,12 +434,12 @@
     first_answer_latency_ = state_.now - attempt_started_at_;
     last_progress_at_ = state_.now;
     state_.health.record_first_token(endpoint_, first_answer_latency_, state_.now);
-    const bool may_repeat = answer.sign == answer_sign::fault &&
+    const bool may_repeat = answer.sign == answer_sign::fault && !relaying_ &&
                             admission_.matched_route.kind == route_kind::idempotent &&
                             possible_runs_ < admission_.matched_route.max_attempts;
     if (answer.sign == answer_sign::fault)
     {
-        state_.health.record_failure(endpoint_, state_.now);
+        state_.record_endpoint_failure(endpoint_);
     }
     else
     {
@@ -412,6 +502,10 @@
         state_.health.record_token_gap(endpoint_, gap, state_.now);
         state_.emit(record_sample{histogram::token_gap_ms, admission_.work_class, admission_.customer, gap.count()});
     }
+    if (!relaying_)
+    {
+        state_.endpoint_answered();
+    }
     count_events(events);
     last_event_at_ = state_.now;
     last_progress_at_ = state_.now;
@@ -464,9 +558,52 @@
     finish(outcome::completed, std::nullopt);
 }
 
+void forwarded_request::record_link_evidence(attempt_failure failure)
+{
+    switch (failure)
+    {
+    case attempt_failure::connect_failed:
+        ++connect_failures_;
+        state_.reachability.record_failure(state_.now);
+        break;
+    case attempt_failure::link_broken:
+        state_.reachability.record_failure(state_.now);
+        break;
+    case attempt_failure::deadline_passed:
+        break;
+    default:
+        state_.endpoint_answered();
+        break;
+    }
+}
+
+void forwarded_request::on_relay_failed(const attempt_failed& failed)
+{
+    tracker_.attempt_failed(failed.failure);
+    possible_runs_ -= proves_not_run(failed.failure) ? 1 : 0;
+    end_attempt(run_end::stopped, false);
+    if (answer_delivered_)
+    {
+        reject(make_error(error_kind::incomplete_answer, "instance " + relays_.back().value() + ": " + failed.message));
+        return;
+    }
+    if (proves_not_run(failed.failure) && failed.failure != attempt_failure::deadline_passed && needs_relay() &&
+        start_relay())
+    {
+        return;
+    }
+    retry_or_reject(failed.failure);
+}
+
 void forwarded_request::on_attempt_failed(const attempt_failed& failed)
 {
     const attempt_failure failure = failed.failure;
+    if (relaying_)
+    {
+        on_relay_failed(failed);
+        return;
+    }
+    record_link_evidence(failure);
     if (failure == attempt_failure::not_started)
     {
         pools_.record_start_limit(endpoint_, failed.starts_per_second, attempt_started_at_);
@@ -496,7 +633,7 @@
     }
     else if (failure != attempt_failure::not_started && failure != attempt_failure::deadline_passed)
     {
-        state_.health.record_failure(endpoint_, state_.now);
+        state_.record_endpoint_failure(endpoint_);
     }
     if (answer_delivered_)
     {
@@ -535,7 +672,9 @@
         return;
     }
     const auto kind = decision.budget_exhausted ? error_kind::retry_budget_spent : error_kind::endpoint_failed;
-    reject(make_error(kind, "endpoint " + endpoint_.value() + ": " + std::string{name_of(failure)},
+    const std::string receiver =
+        endpoint_.empty() ? "instance " + relays_.back().value() : "endpoint " + endpoint_.value();
+    reject(make_error(kind, receiver + ": " + std::string{name_of(failure)},
                       state_.draw_retry_after(default_expected_wait)));
 }
 
@@ -584,7 +723,7 @@
     if (attempt_ != attempt_id{} && silent > silence_limit())
     {
         // A broken link may cause no error, so it is assumed after this time. The caller has disconnected or soon will.
-        state_.health.record_failure(endpoint_, state_.now);
+        state_.record_endpoint_failure(endpoint_);
         reject(make_error(error_kind::link_broken, "endpoint " + endpoint_.value() + " sent nothing for " +
                                                        std::to_string(silent.count()) + " ms"));
         return;
--- a/libs/decision_core/src/forwarded_request.hpp
+++ b/libs/decision_core/src/forwarded_request.hpp
@@ -92,6 +92,9 @@
     void on_timer(const core_timer& due);
     /// @brief Drops the attempt in progress and ends the request without an answer.
     void on_caller_disconnected();
+    /// @brief This instance has lost its links to all endpoints: passes the request on to another instance, if it has
+    /// not been sent or may be repeated.
+    void on_links_lost();
     /// @brief Requests or registers the permit again, since the pool's scheduler may have moved to another instance.
     void on_scheduler_changed();
 
@@ -132,6 +135,16 @@
     [[nodiscard]] work_description describe_work() const;
     /// Requests a permit for an engine, or starts an attempt at an endpoint of a plain service.
     void select_endpoint();
+    /// Records what the end of an attempt says about this instance's links.
+    void record_link_evidence(attempt_failure failure);
+    void on_relay_failed(const attempt_failed& failed);
+    /// Whether the request should be passed on to an instance that reaches endpoints.
+    [[nodiscard]] bool needs_relay() const;
+    /// Passes the request on to another instance, which handles it like a caller's.
+    /// @return false when there is none
+    bool start_relay();
+    /// Emits the attempt, which is relayed or goes to `endpoint_`.
+    void emit_attempt(std::optional<run_continuation> continuation, const std::string& receiver);
     /// Starts an attempt at an endpoint of a plain service, or requests a permit for one that limits its requests per
     /// second.
     void select_plain_endpoint();
@@ -170,6 +183,11 @@
     endpoint_id endpoint_;
     /// Copy of the endpoint's address, since the endpoint may be removed from the list during the attempt.
     std::string endpoint_address_;
+    /// The attempt in progress was passed on to another instance.
+    bool relaying_ = false;
+    std::vector<instance_id> relays_;
+    /// Attempts for which no connection was established.
+    int connect_failures_ = 0;
     std::optional<run_move> move_;
     int move_count_ = 0;
     /// Size of the KV cache that the attempt is expected to need, in tokens.
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -89,8 +89,9 @@
     [[nodiscard]] time_point next_deadline() const
     {
         return std::min({state_.members.next_deadline(), state_.health.next_evaluation(), pools_.next_deadline(),
-                         state_.timers.next(), outage_filter_.next_deadline(), source_watch_.next_deadline(),
-                         next_purge_, next_quarantine_exchange_, next_readiness_check_, next_stop_check_});
+                         state_.timers.next(), state_.reachability.next_round(), outage_filter_.next_deadline(),
+                         source_watch_.next_deadline(), next_purge_, next_quarantine_exchange_, next_readiness_check_,
+                         next_stop_check_});
     }
     [[nodiscard]] bool ready(time_point now) const
     {
@@ -429,6 +430,12 @@
         {
             forwards_.on_schedulers_changed();
         }
+        if (std::exchange(state_.links_lost, false))
+        {
+            pools_.forget_health();
+            forwards_.on_links_lost();
+            state_.members.set_busy(unavailable_percent);
+        }
         if (std::exchange(state_.blocked_parts_changed, false))
         {
             forwards_.reject_blocked();
@@ -457,12 +464,17 @@
                 pools_.health_changed(change.endpoint);
             }
         }
+        if (state_.reachability.round_due(state_.now))
+        {
+            state_.probe_links();
+        }
         pools_.advance();
         source_watch_.update();
         if (next_readiness_check_ <= state_.now)
         {
             next_readiness_check_ = state_.now + state_.settings.forwarding.readiness_check_interval;
-            state_.members.set_busy(ready(state_.now) ? 0 : unavailable_percent);
+            const bool serves = ready(state_.now) && !state_.reachability.lost();
+            state_.members.set_busy(serves ? 0 : unavailable_percent);
         }
         if (next_quarantine_exchange_ <= state_.now)
         {
--- a/libs/decision_core/src/pool_manager.cpp
+++ b/libs/decision_core/src/pool_manager.cpp
@@ -469,6 +469,16 @@
     get_or_make_chooser(entry->pool).set_health(endpoint, weight);
 }
 
+void pool_manager::forget_health()
+{
+    for (const endpoint_entry* entry : state_.directory.endpoints())
+    {
+        state_.health.remove(entry->endpoint);
+        state_.health.add(entry->endpoint, entry->pool);
+        health_changed(entry->endpoint);
+    }
+}
+
 void pool_manager::records_changed()
 {
     for (auto& [pool, local_scheduler] : schedulers_)
--- a/libs/decision_core/src/pool_manager.hpp
+++ b/libs/decision_core/src/pool_manager.hpp
@@ -75,6 +75,8 @@
     void load_reported(const load_report& report);
     /// @brief Applies the current health weight of an endpoint; ignored for an unlisted endpoint.
     void health_changed(const endpoint_id& endpoint);
+    /// @brief Forgets what this instance has measured of all endpoints' health.
+    void forget_health();
     /// @brief Applies the current priority and customer records to the schedulers of this instance.
     void records_changed();
     /// @brief Reassigns pools to instances and resizes the local shares by the number of live members.
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -201,7 +201,8 @@
         {
             return false;
         }
-        evaluation_ = owner_.protocol_.read_response(head, found->second.request);
+        evaluation_ = start_.relayed ? owner_.protocol_.read_relayed_response(head, found->second.request)
+                                     : owner_.protocol_.read_response(head, found->second.request);
         if (!evaluation_.matches_request)
         {
             return false;
@@ -424,8 +425,11 @@
     const duration left = start.deadline - millisecond_clock::now();
     http_call call;
     call.address = start.address;
-    call.text = forwarded_request_head(found->second.request, [this](std::string_view field)
-                                       { return protocol_.forwards_request_field(field); });
+    call.text = forwarded_request_head(found->second.request,
+                                       [&](std::string_view field) {
+                                           return protocol_.forwards_request_field(field) ||
+                                                  (start.relayed && protocol_.relays_request_field(field));
+                                       });
     start_forward attempt = start;
     if (attempt.continuation)
     {
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
@@ -64,6 +64,14 @@
     {
         protocol.forwards_request_field(field)
         } -> std::same_as<bool>;
+    // Returns true for the request header fields that another instance needs in addition to handle a relayed request.
+    {
+        protocol.relays_request_field(field)
+        } -> std::same_as<bool>;
+    // Decodes the response of another instance to a relayed request.
+    {
+        protocol.read_relayed_response(head, request)
+        } -> std::same_as<response_evaluation>;
     // Appends the header fields that the instance sets; `left` is the time until the deadline.
     protocol.append_attempt_fields(out, attempt, left);
     {
--- a/libs/forwarding/tests/small_protocol.hpp
+++ b/libs/forwarding/tests/small_protocol.hpp
@@ -28,8 +28,22 @@
     {
         return field != "x-secret";
     }
+    [[nodiscard]] bool relays_request_field(std::string_view field) const
+    {
+        return field == "x-secret";
+    }
+    [[nodiscard]] response_evaluation read_relayed_response(const response_head& head,
+                                                            const parsleyshift::http_request& request) const
+    {
+        return read_response(head, request);
+    }
     void append_attempt_fields(std::string& out, const start_forward& attempt, duration /*left*/) const
     {
+        if (attempt.relayed)
+        {
+            out += "x-relayed: 1\r\n";
+            return;
+        }
         out += "x-endpoint: " + attempt.endpoint.value() + "\r\n";
         if (attempt.continuation)
         {
--- a/libs/messages/include/parsleyshift/messages/action.hpp
+++ b/libs/messages/include/parsleyshift/messages/action.hpp
@@ -255,6 +255,10 @@
     endpoint_ejected,
     endpoint_restored,
     endpoint_leaving,
+    /// No endpoint answers this instance any more; its requests are passed on to other instances.
+    links_lost,
+    /// Endpoints answer this instance again.
+    links_regained,
     /// The number of requests per second that an endpoint accepts has changed.
     endpoint_limit_changed,
     request_quarantined,
@@ -297,6 +301,8 @@
         enum_name<log_event>{log_event::endpoint_ejected, "endpoint_ejected"},
         enum_name<log_event>{log_event::endpoint_restored, "endpoint_restored"},
         enum_name<log_event>{log_event::endpoint_leaving, "endpoint_leaving"},
+        enum_name<log_event>{log_event::links_lost, "links_lost"},
+        enum_name<log_event>{log_event::links_regained, "links_regained"},
         enum_name<log_event>{log_event::endpoint_limit_changed, "endpoint_limit_changed"},
         enum_name<log_event>{log_event::request_quarantined, "request_quarantined"},
         enum_name<log_event>{log_event::scheduler_changed, "scheduler_changed"},
--- a/libs/messages/include/parsleyshift/messages/forward.hpp
+++ b/libs/messages/include/parsleyshift/messages/forward.hpp
@@ -159,6 +159,8 @@
     std::vector<std::string> prompt_parts;
     /// Hash of method, path and body; identifies a resent request.
     std::uint64_t content_hash = 0;
+    /// Another instance, which does not reach endpoints, has passed the request on; it is not passed on again.
+    bool relayed = false;
 };
 
 /// @brief Classification of an endpoint's answer by its status line and headers.
@@ -313,6 +315,8 @@
     time_point deadline = never;
     /// Set if the attempt continues a run that was copied from another engine.
     std::optional<run_continuation> continuation;
+    /// `address` is that of another instance, which handles the request like a caller's.
+    bool relayed = false;
 };
 
 /// @brief Cancel an attempt: its connection is closed and no further events of it are reported.
--- a/libs/routing/include/parsleyshift/routing/endpoint_directory.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_directory.hpp
@@ -86,6 +86,8 @@
     /// @brief All endpoints of a pool, including leaving ones, ordered by id. O(1) on average.
     /// @return empty for an unknown pool; valid until the next call of handle_list()
     [[nodiscard]] const std::vector<const endpoint_entry*>& endpoints_of(const pool_id& pool) const;
+    /// @brief All endpoints, ordered by id. O(endpoints * log(endpoints)).
+    [[nodiscard]] std::vector<const endpoint_entry*> endpoints() const;
     /// @brief Pools of a service, ordered by id. O(1) on average.
     /// @return empty for an unknown service; valid until the next call of handle_list()
     [[nodiscard]] const std::vector<pool_id>& pools_of(const service_id& service) const;
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -202,6 +202,18 @@
     return found == pools_by_service_.end() ? no_pools : found->second;
 }
 
+std::vector<const endpoint_entry*> endpoint_directory::endpoints() const
+{
+    std::vector<const endpoint_entry*> found;
+    for (const auto& [endpoint, listed] : entries_)
+    {
+        found.push_back(&listed.entry);
+    }
+    std::sort(found.begin(), found.end(),
+              [](const endpoint_entry* left, const endpoint_entry* right) { return left->endpoint < right->endpoint; });
+    return found;
+}
+
 std::uint64_t endpoint_directory::version() const noexcept
 {
     return version_;
