--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -205,6 +205,40 @@
     }
 }
 
+// Guards against a relayed request that another instance cannot authenticate, or would relay again.
+TEST(forwarder, relays_a_request_with_the_key_and_a_mark)
+{
+    scripted_server instance(
+        [](scripted_server::connection& from)
+        {
+            const auto received = from.request();
+            const bool is_expected = received->find("x-relayed: 1\r\n") != std::string::npos &&
+                                     received->find("x-secret") != std::string::npos &&
+                                     received->find("x-endpoint") == std::string::npos && received->ends_with("ab");
+            from.send(std::string{"HTTP/1.1 200 OK\r\nx-id: 5\r\nContent-Length: 2\r\n\r\n"} +
+                      (is_expected ? "ok" : "no"));
+        });
+    running_forwarder forwarder(
+        [address = instance.address(), active = request_id{}](const event& what,
+                                                              class forwarder<small_protocol>& tested) mutable
+        {
+            if (const auto* request = std::get_if<forward_request>(&what))
+            {
+                active = request->request;
+                start_forward relay = start_at(address, active, 1, route_kind::once);
+                relay.relayed = true;
+                tested.handle(relay);
+            }
+            else if (const auto* answered = std::get_if<forward_answered>(&what))
+            {
+                tested.handle(deliver_forward{active, answered->attempt});
+            }
+        });
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    CHECK(caller.read_answer().ends_with("\r\n\r\nok"));
+}
+
 // Guards against forwarding the response to another request, bytes that are not HTTP, or a response that ends early.
 TEST(forwarder, drops_incomplete_and_mismatched_responses)
 {
