Send what is known about endpoints' limits with each request for a permit

An endpoint with a limit of 1 a second got 28 requests in 4 s in the simulation, where 11 are allowed: a restarted instance became the scheduler of its pool and granted starts before a notice had told it the limit.

Cause: the notices spread by chance, and the requests that the new scheduler decides come earlier. Change: a request for a permit carries the limits that its sender knows in the pool, and the scheduler merges them before it decides. Announcing them once to each new scheduler was ruled out, since a process that restarts under the same id looks like the one before.

The test failed before the change and passes after it.

--- a/libs/decision_core/src/permit_holder.cpp
+++ b/libs/decision_core/src/permit_holder.cpp
@@ -48,7 +48,7 @@
 
 void permit_holder::send_request()
 {
-    state_.send(pools_.scheduler_instance_of(pool_), permit_request{pool_, work_});
+    state_.send(pools_.scheduler_instance_of(pool_), permit_request{pool_, work_, pools_.known_limits(pool_)});
 }
 
 void permit_holder::add_timer(timer_kind kind, duration wait)
--- a/libs/decision_core/src/pool_manager.cpp
+++ b/libs/decision_core/src/pool_manager.cpp
@@ -200,6 +200,10 @@
 
 void pool_manager::handle(const instance_id& from, const permit_request& request)
 {
+    for (const endpoint_limit_notice& notice : request.limits)
+    {
+        handle(from, notice);
+    }
     scheduler& local_scheduler = get_or_start_scheduler(request.pool);
     if (request.work.plain)
     {
@@ -279,6 +283,19 @@
     }
 }
 
+std::vector<endpoint_limit_notice> pool_manager::known_limits(const pool_id& pool) const
+{
+    std::vector<endpoint_limit_notice> known;
+    for (const endpoint_entry* entry : state_.directory.endpoints_of(pool))
+    {
+        if (state_.start_limits.limit(entry->endpoint))
+        {
+            known.push_back(state_.start_limits.notice_of(entry->endpoint, state_.now));
+        }
+    }
+    return known;
+}
+
 void pool_manager::start_limit_changed(const endpoint_entry& entry, const std::string& source)
 {
     const endpoint_limit_notice notice = state_.start_limits.notice_of(entry.endpoint, state_.now);
--- a/libs/decision_core/src/pool_manager.hpp
+++ b/libs/decision_core/src/pool_manager.hpp
@@ -41,6 +41,8 @@
     /// all regions when that one has none.
     const instance_id& scheduler_instance_of(const pool_id& pool);
 
+    /// @brief What this instance knows about limits on requests per second in a pool.
+    [[nodiscard]] std::vector<endpoint_limit_notice> known_limits(const pool_id& pool) const;
     /// @brief Chooses an endpoint with free capacity in this instance's local share.
     /// @param memory expected size of the KV cache of the work, in tokens
     /// @return nothing when no endpoint has enough free capacity
--- a/libs/decision_core/tests/endpoint_limits_test.cpp
+++ b/libs/decision_core/tests/endpoint_limits_test.cpp
@@ -154,3 +154,39 @@
     CHECK(fleet.most_arrivals("d1", named + stable_window) <= allowed_arrivals(2.0));
     CHECK(fleet.most_arrivals("d2", named + stable_window) <= allowed_arrivals(2.0));
 }
+
+// Guards against a scheduler that has just started and grants starts before it has learned the limits.
+TEST(endpoint_limits, are_known_to_a_scheduler_before_its_first_grant)
+{
+    core_fleet fleet({40, 4, 0.0, 123, 3});
+    const std::vector<std::string> endpoints{"d1", "d2", "d3", "w1", "w2", "w3"};
+    const auto send_requests = [&fleet](duration time)
+    {
+        int sent = 0;
+        send_every(fleet, 25_ms, time,
+                   [&]
+                   {
+                       fleet.send_plain_request();
+                       if (sent++ % 4 == 0)
+                       {
+                           fleet.send_request({"t"});
+                       }
+                   });
+    };
+    send_requests(2_s);
+    for (const std::string& endpoint : endpoints)
+    {
+        fleet.name_limit(endpoint, 1.0);
+    }
+    const time_point named = fleet.now();
+    for (int restarts = 0; restarts < 5; ++restarts)
+    {
+        send_requests(1'500_ms);
+        fleet.restart(3);
+    }
+    send_requests(5_s);
+    for (const std::string& endpoint : endpoints)
+    {
+        CHECK(fleet.most_arrivals(endpoint, named + stable_window) <= allowed_arrivals(1.0));
+    }
+}
--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -218,9 +218,9 @@
             from.send(std::string{"HTTP/1.1 200 OK\r\nx-id: 5\r\nContent-Length: 2\r\n\r\n"} +
                       (is_expected ? "ok" : "no"));
         });
-    running_forwarder forwarder(
+    running_forwarder relaying(
         [address = instance.address(), active = request_id{}](const event& what,
-                                                              class forwarder<small_protocol>& tested) mutable
+                                                              forwarder<small_protocol>& tested) mutable
         {
             if (const auto* request = std::get_if<forward_request>(&what))
             {
@@ -234,7 +234,7 @@
                 tested.handle(deliver_forward{active, answered->attempt});
             }
         });
-    client caller(forwarder.port());
+    client caller(relaying.port());
     caller.send(request_text_of_caller);
     CHECK(caller.read_answer().ends_with("\r\n\r\nok"));
 }
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -175,11 +175,27 @@
     friend bool operator==(const work_description&, const work_description&) = default;
 };
 
+/// An endpoint has named a limit on its requests per second, or has ended it.
+struct endpoint_limit_notice
+{
+    endpoint_id endpoint;
+    /// False if the endpoint names no limit any more.
+    bool limited = false;
+    /// Requests per second that the endpoint accepts from all instances together.
+    double starts_per_second = 0.0;
+    /// Time since the answer of the endpoint that stated this.
+    duration age{};
+
+    friend bool operator==(const endpoint_limit_notice&, const endpoint_limit_notice&) = default;
+};
+
 /// Requests a permit from a pool scheduler.
 struct permit_request
 {
     pool_id pool;
     work_description work;
+    /// What the sender knows about limits in the pool. A scheduler that has just started knows none.
+    std::vector<endpoint_limit_notice> limits{};
 
     friend bool operator==(const permit_request&, const permit_request&) = default;
 };
@@ -348,20 +364,6 @@
     friend bool operator==(const endpoint_health_notice&, const endpoint_health_notice&) = default;
 };
 
-/// An endpoint has named a limit on its requests per second, or has ended it.
-struct endpoint_limit_notice
-{
-    endpoint_id endpoint;
-    /// False if the endpoint names no limit any more.
-    bool limited = false;
-    /// Requests per second that the endpoint accepts from all instances together.
-    double starts_per_second = 0.0;
-    /// Time since the answer of the endpoint that stated this.
-    duration age{};
-
-    friend bool operator==(const endpoint_limit_notice&, const endpoint_limit_notice&) = default;
-};
-
 /// Requests the changes after a revision from a peer that reads the configuration service directly. The peer answers
 /// at once if it already holds changes, and otherwise after its next read of the configuration service.
 struct source_pull
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -101,10 +101,19 @@
     11: bool plain
 }
 
+struct endpoint_limit_notice
+{
+    1: string endpoint
+    2: bool limited
+    3: double starts_per_second
+    4: i64 age
+}
+
 struct permit_request
 {
     1: string pool
     2: work_description work
+    3: list<endpoint_limit_notice> limits
 }
 
 struct permit_grant
@@ -246,14 +255,6 @@
     10: i64 era
 }
 
-struct endpoint_limit_notice
-{
-    1: string endpoint
-    2: bool limited
-    3: double starts_per_second
-    4: i64 age
-}
-
 union message
 {
     1: probe probe_value
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -294,10 +294,19 @@
     copy(wire.start_by, value.start_by);
 }
 
+void fields(auto copy, auto& wire, like<endpoint_limit_notice> auto& value)
+{
+    copy(wire.endpoint, value.endpoint);
+    copy(wire.limited, value.limited);
+    copy(wire.starts_per_second, value.starts_per_second);
+    copy(wire.age, value.age);
+}
+
 void fields(auto copy, auto& wire, like<permit_request> auto& value)
 {
     copy(wire.pool, value.pool);
     copy(wire.work, value.work);
+    copy(wire.limits, value.limits);
 }
 
 void fields(auto copy, auto& wire, like<permit_grant> auto& value)
@@ -458,14 +467,6 @@
     copy(wire.era, value.era);
 }
 
-void fields(auto copy, auto& wire, like<endpoint_limit_notice> auto& value)
-{
-    copy(wire.endpoint, value.endpoint);
-    copy(wire.limited, value.limited);
-    copy(wire.starts_per_second, value.starts_per_second);
-    copy(wire.age, value.age);
-}
-
 /// @brief Calls `visit(member, message_type, is_set)` for each member of the union; the result says whether it is set.
 void for_each_member(wire_format::message& m, auto visit)
 {
--- a/libs/wire/tests/peer_codec_test.cpp
+++ b/libs/wire/tests/peer_codec_test.cpp
@@ -138,7 +138,7 @@
     }
     void fill(permit_request& m) const
     {
-        m = {name<pool_id>(), work()};
+        m = {name<pool_id>(), work(), several([this] { return limit(); })};
     }
     void fill(permit_grant& m) const
     {
@@ -199,6 +199,11 @@
     {
         m = {name<pool_id>(), name<endpoint_id>(), static_cast<double>(any<std::int32_t>()), time()};
     }
+    [[nodiscard]] endpoint_limit_notice limit() const
+    {
+        return {name<endpoint_id>(), any<bool>(), static_cast<double>(any<std::int32_t>()),
+                duration{any<std::int32_t>()}};
+    }
     void fill(endpoint_limit_notice& m) const
     {
         m = {name<endpoint_id>(), any<bool>(), static_cast<double>(any<std::int32_t>()), duration{any<std::int32_t>()}};
