--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -16,10 +16,6 @@
 /// Number of gaps between events needed for an estimate of the usual gap. At 28 ms per event, 12 gaps take a third of a
 /// second, in which an engine makes at least one step that processes no prompt.
 constexpr int min_gap_samples = 12;
-/// Attempts without a connection after which a request is passed on to another instance.
-constexpr int max_connect_failures = 2;
-/// Other instances that a request is passed on to, one after the other.
-constexpr std::size_t max_relays = 3;
 /// Part of a plain request's latency objective for which it may wait for a start at a limited endpoint.
 constexpr int plain_start_wait_divisor = 2;
 /// Expected wait from which the retry_after of a rejected request is drawn.
@@ -176,63 +172,6 @@
     }
 }
 
-bool forwarded_request::needs_relay() const
-{
-    const bool lacks_links = state_.reachability.lost() || connect_failures_ >= max_connect_failures;
-    return lacks_links && !request_.relayed && relays_.size() < max_relays;
-}
-
-bool forwarded_request::start_relay()
-{
-    const member_update* peer = state_.draw_relay(relays_);
-    if (peer == nullptr)
-    {
-        return false;
-    }
-    if (permit_)
-    {
-        permit_->release(0, false);
-    }
-    relays_.push_back(peer->instance);
-    relaying_ = true;
-    ++attempt_count_;
-    ++possible_runs_;
-    endpoint_ = endpoint_id{};
-    endpoint_address_ = peer->address;
-    attempt_ = state_.next_attempt(attempt_owner::forward, request_.request);
-    attempt_started_at_ = state_.now;
-    last_progress_at_ = state_.now;
-    tracker_.attempt_sent();
-    emit_attempt(std::nullopt, "relay=" + peer->instance.value());
-    return true;
-}
-
-void forwarded_request::on_links_lost()
-{
-    if (relaying_ || answer_delivered_)
-    {
-        return;
-    }
-    if (attempt_ == attempt_id{})
-    {
-        ++retry_timer_step_;
-        if (permit_)
-        {
-            permit_->release(0, false);
-        }
-        select_endpoint();
-        return;
-    }
-    const bool may_repeat = admission_.matched_route.kind == route_kind::idempotent &&
-                            possible_runs_ < admission_.matched_route.max_attempts;
-    if (may_repeat && state_.budget_of(admission_.service).try_spend())
-    {
-        state_.emit(cancel_forward{attempt_});
-        end_attempt(run_end::stopped, false);
-        select_endpoint();
-    }
-}
-
 void forwarded_request::select_plain_endpoint()
 {
     const auto chosen = choose_plain_endpoint(state_, admission_.service, tried_endpoints_, denied_endpoints_);
@@ -558,43 +497,6 @@
     finish(outcome::completed, std::nullopt);
 }
 
-void forwarded_request::record_link_evidence(attempt_failure failure)
-{
-    switch (failure)
-    {
-    case attempt_failure::connect_failed:
-        ++connect_failures_;
-        state_.reachability.record_failure(state_.now);
-        break;
-    case attempt_failure::link_broken:
-        state_.reachability.record_failure(state_.now);
-        break;
-    case attempt_failure::deadline_passed:
-        break;
-    default:
-        state_.endpoint_answered();
-        break;
-    }
-}
-
-void forwarded_request::on_relay_failed(const attempt_failed& failed)
-{
-    tracker_.attempt_failed(failed.failure);
-    possible_runs_ -= proves_not_run(failed.failure) ? 1 : 0;
-    end_attempt(run_end::stopped, false);
-    if (answer_delivered_)
-    {
-        reject(make_error(error_kind::incomplete_answer, "instance " + relays_.back().value() + ": " + failed.message));
-        return;
-    }
-    if (proves_not_run(failed.failure) && failed.failure != attempt_failure::deadline_passed && needs_relay() &&
-        start_relay())
-    {
-        return;
-    }
-    retry_or_reject(failed.failure);
-}
-
 void forwarded_request::on_attempt_failed(const attempt_failed& failed)
 {
     const attempt_failure failure = failed.failure;
