Share the steps of attempts and of repeats between endpoints and relays

A relayed attempt and one to an endpoint each had their own copy of the id, the times and the outcome tracker, and the repeat of an idempotent request stood in two places with the same conditions; begin_attempt(), repeat_attempt() and receiver() now serve both. The release of a waiting permit before a relay was done twice. endpoint_reachability::is_probed had no caller. Without any limit a request for a permit no longer looks up each endpoint of its pool.

--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -285,13 +285,18 @@
                               (state_.now - arrived_at_).count()});
 }
 
-void forwarded_request::send_attempt(std::optional<run_continuation> continuation)
+void forwarded_request::begin_attempt()
 {
     attempt_ = state_.next_attempt(attempt_owner::forward, request_.request);
     attempt_started_at_ = state_.now;
     last_progress_at_ = state_.now;
-    expected_memory_ = permit_ ? permit_->expected_memory() : 0;
     tracker_.attempt_sent();
+}
+
+void forwarded_request::send_attempt(std::optional<run_continuation> continuation)
+{
+    begin_attempt();
+    expected_memory_ = permit_ ? permit_->expected_memory() : 0;
     state_.ledger.record_start(endpoint_, expected_memory_, state_.now);
     state_.quarantine.run_started(attempt_, fingerprint_, endpoint_);
     if (event_count_ == 0)
@@ -373,9 +378,6 @@
     first_answer_latency_ = state_.now - attempt_started_at_;
     last_progress_at_ = state_.now;
     state_.health.record_first_token(endpoint_, first_answer_latency_, state_.now);
-    const bool may_repeat = answer.sign == answer_sign::fault && !relaying_ &&
-                            admission_.matched_route.kind == route_kind::idempotent &&
-                            possible_runs_ < admission_.matched_route.max_attempts;
     if (answer.sign == answer_sign::fault)
     {
         state_.record_endpoint_failure(endpoint_);
@@ -384,11 +386,8 @@
     {
         state_.health.record_success(endpoint_);
     }
-    if (may_repeat && state_.budget_of(admission_.service).try_spend())
+    if (answer.sign == answer_sign::fault && !relaying_ && repeat_attempt())
     {
-        state_.emit(cancel_forward{attempt_});
-        end_attempt(run_end::stopped, false);
-        select_endpoint();
         return;
     }
     answer_delivered_ = true;
@@ -402,6 +401,25 @@
     }
 }
 
+bool forwarded_request::repeat_attempt()
+{
+    const bool may_repeat = admission_.matched_route.kind == route_kind::idempotent &&
+                            possible_runs_ < admission_.matched_route.max_attempts;
+    if (!may_repeat || !state_.budget_of(admission_.service).try_spend())
+    {
+        return false;
+    }
+    state_.emit(cancel_forward{attempt_});
+    end_attempt(run_end::stopped, false);
+    select_endpoint();
+    return true;
+}
+
+std::string forwarded_request::receiver() const
+{
+    return endpoint_.empty() ? "instance " + relays_.back().value() : "endpoint " + endpoint_.value();
+}
+
 duration forwarded_request::usual_gap() const
 {
     return gap_count_ < min_gap_samples ? duration{} : duration{static_cast<duration::rep>(usual_gap_ms_)};
@@ -574,9 +592,7 @@
         return;
     }
     const auto kind = decision.budget_exhausted ? error_kind::retry_budget_spent : error_kind::endpoint_failed;
-    const std::string receiver =
-        endpoint_.empty() ? "instance " + relays_.back().value() : "endpoint " + endpoint_.value();
-    reject(make_error(kind, receiver + ": " + std::string{name_of(failure)},
+    reject(make_error(kind, receiver() + ": " + std::string{name_of(failure)},
                       state_.draw_retry_after(default_expected_wait)));
 }
 
--- a/libs/decision_core/src/forwarded_request.hpp
+++ b/libs/decision_core/src/forwarded_request.hpp
@@ -151,6 +151,14 @@
     /// The scheduler of the pool has granted no start at its limited endpoints: chooses among the others.
     void select_unlimited_endpoint(const error& denial);
     void on_permit_timer(const core_timer& due);
+    /// Gives the next attempt its id and start time.
+    void begin_attempt();
+    /// Ends an attempt of an idempotent request and selects another endpoint, within the attempts of the route and the
+    /// retry budget.
+    /// @return false when the request may not be repeated
+    bool repeat_attempt();
+    /// The endpoint or the instance that the latest attempt was sent to, for messages.
+    [[nodiscard]] std::string receiver() const;
     void start_attempt(const endpoint_id& endpoint);
     void end_attempt(run_end ending, bool completed);
     void retry_or_reject(attempt_failure failure);
--- a/libs/decision_core/src/forwarded_request_relay.cpp
+++ b/libs/decision_core/src/forwarded_request_relay.cpp
@@ -38,10 +38,7 @@
     ++possible_runs_;
     endpoint_ = endpoint_id{};
     endpoint_address_ = peer->address;
-    attempt_ = state_.next_attempt(attempt_owner::forward, request_.request);
-    attempt_started_at_ = state_.now;
-    last_progress_at_ = state_.now;
-    tracker_.attempt_sent();
+    begin_attempt();
     emit_attempt(std::nullopt, "relay=" + peer->instance.value());
     return true;
 }
@@ -55,21 +52,10 @@
     if (attempt_ == attempt_id{})
     {
         ++retry_timer_step_;
-        if (permit_)
-        {
-            permit_->release(0, false);
-        }
         select_endpoint();
         return;
     }
-    const bool may_repeat = admission_.matched_route.kind == route_kind::idempotent &&
-                            possible_runs_ < admission_.matched_route.max_attempts;
-    if (may_repeat && state_.budget_of(admission_.service).try_spend())
-    {
-        state_.emit(cancel_forward{attempt_});
-        end_attempt(run_end::stopped, false);
-        select_endpoint();
-    }
+    repeat_attempt();
 }
 
 void forwarded_request::record_link_evidence(attempt_failure failure)
@@ -98,7 +84,7 @@
     end_attempt(run_end::stopped, false);
     if (answer_delivered_)
     {
-        reject(make_error(error_kind::incomplete_answer, "instance " + relays_.back().value() + ": " + failed.message));
+        reject(make_error(error_kind::incomplete_answer, receiver() + ": " + failed.message));
         return;
     }
     if (proves_not_run(failed.failure) && failed.failure != attempt_failure::deadline_passed && needs_relay() &&
--- a/libs/decision_core/src/pool_manager.cpp
+++ b/libs/decision_core/src/pool_manager.cpp
@@ -286,6 +286,10 @@
 std::vector<endpoint_limit_notice> pool_manager::known_limits(const pool_id& pool) const
 {
     std::vector<endpoint_limit_notice> known;
+    if (state_.start_limits.empty())
+    {
+        return known;
+    }
     for (const endpoint_entry* entry : state_.directory.endpoints_of(pool))
     {
         if (state_.start_limits.limit(entry->endpoint))
--- a/libs/routing/include/parsleyshift/routing/endpoint_reachability.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_reachability.hpp
@@ -39,8 +39,6 @@
     /// @brief Records that a probe of the round was not answered.
     /// @return true if the links now count as lost and did not before
     bool record_unanswered_probe(const endpoint_id& endpoint, time_point now);
-    /// @brief Whether the endpoint is being probed in the current round.
-    [[nodiscard]] bool is_probed(const endpoint_id& endpoint) const;
     [[nodiscard]] bool lost() const noexcept
     {
         return lost_;
--- a/libs/routing/include/parsleyshift/routing/endpoint_start_limits.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_start_limits.hpp
@@ -29,6 +29,11 @@
     [[nodiscard]] std::vector<endpoint_limit_notice> notices(time_point now) const;
     /// @brief Notice of what is known about one endpoint; without a limit when nothing is.
     [[nodiscard]] endpoint_limit_notice notice_of(const endpoint_id& endpoint, time_point now) const;
+    /// @brief True if no endpoint has named a limit.
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return statements_.empty();
+    }
     /// @brief Forgets an endpoint.
     void remove(const endpoint_id& endpoint);
     /// @brief Requests per second that an endpoint accepts; nothing without a known limit.
--- a/libs/routing/src/endpoint_reachability.cpp
+++ b/libs/routing/src/endpoint_reachability.cpp
@@ -63,9 +63,4 @@
     return true;
 }
 
-bool endpoint_reachability::is_probed(const endpoint_id& endpoint) const
-{
-    return std::find(unanswered_.begin(), unanswered_.end(), endpoint) != unanswered_.end();
-}
-
 } // namespace parsleyshift
