Let instances start from a peer's copy of the store, in a tree, and keep copies fresh while the store is slow

While the store took 0.6 s and more for an answer, pulls ended after 1.2 s whatever the reader did, the age of a read counted the time for which the pull had waited at the reader, a watch that brought one large item was dropped and listed anew, and one link carried the answers to 39 followers at the same time. Change: a first copy is pulled like any other; before an instance has joined it follows the seeds, which read the store themselves; a reader without a copy answers after its first listing. The age of a read is that at the arrival of the pull, which proves as much. A reader that waits for the store, or has heard so from its own reader, sends a sign every 0.8 s; two instances never wait for each other. Large answers are paced by the link (new setting link_mbps). Regions above 13 instances are a tree of two steps (reader_ranking). The time-out of a store call follows its latency and is 1.0 s (0.7 s) beyond the wait at first: the second that the ages lost pays for it. A watch's response may be as large as the link transfers in the time of another call. Views: 16 instead of 4 answers a second, a second view after 3 s, half of the repeated requests go to known members.

--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -20,8 +20,16 @@
     /// the call started, so this time and the timeouts together must stay well below the time for which
     /// a caller's key is accepted after a read (the setting max_key_age).
     duration watch_wait{700};
-    /// Time beyond the wait of a call after which the call has failed if no part of the response has arrived.
-    duration timeout_margin{700};
+    /// Time beyond the wait of a call after which the call has failed if no part of the response has arrived; longer
+    /// while the store is slow, see `max_timeout_margin`.
+    duration timeout_margin{1'000};
+    /// Upper limit of that time: it is `latency_multiple` times the latency of the latest response, and this limit
+    /// after a call without a response, which may have come from a store that has become slow.
+    duration max_timeout_margin{1'600};
+    int latency_multiple = 3;
+    /// Aimed-at time from the start of a watch to its response: a watch of a slow store waits less for changes, so that
+    /// the copies do not get older.
+    duration max_watch_duration{1'200};
     /// Longest time for which a response may take to arrive after that. A call that ends while bytes arrive has used
     /// the link for nothing, and so will the next one; a response that takes longer than this is too old to be of use.
     duration max_transfer_time{2'000};
@@ -32,9 +40,12 @@
     duration initial_retry_delay{100};
     /// Upper limit of that delay, before jitter.
     duration max_retry_delay{800};
-    /// Largest response to a watch in bytes: this plus twice the size of the local copy. A larger one holds several
-    /// versions of the items, and the listing that follows instead is smaller.
+    /// Largest response to a watch in bytes: this, twice the size of the local copy, and what the link transfers in the
+    /// time that another call would take. A larger one holds several versions of the items, and the listing that
+    /// follows instead is smaller.
     std::size_t watch_response_allowance = std::size_t{64} * 1024;
+    /// Rate of the link in bytes per millisecond.
+    double link_rate = 1'250;
     /// Number of removed keys kept for peers; a peer that needs an older one gets the keys of all items instead.
     std::size_t max_removals = 1'024;
     /// Size in bytes from which values are sent to peers in compressed form.
@@ -100,7 +111,8 @@
     bool apply_relayed(const source_answer& answer, time_point requested_at);
     /// @brief Returns the answer to a pull. `available` and `complete` are false when the copy is older than the
     /// receiver's, or when the receiver needs a list of all keys and does not accept it.
-    [[nodiscard]] source_answer answer_to(const source_pull& pull, time_point now);
+    /// @param arrived_at arrival of the pull, which was sent earlier: what was read after it was current then
+    [[nodiscard]] source_answer answer_to(const source_pull& pull, time_point arrived_at, time_point now);
     /// @brief Starts a new listing, because the store no longer has the changes after the revision of the watch. The
     /// local copy stays in use until the listing is complete.
     void restart_listing();
@@ -110,6 +122,8 @@
     /// @param response_started whether a part of the response has arrived
     /// @return delay before the next call
     duration record_failure(bool response_started = false);
+    /// @brief Records that a complete response has arrived, of any kind, from which the latency of the store follows.
+    void record_response(time_point now);
 
     /// @brief The local copy of the items, by key.
     [[nodiscard]] const std::map<std::string, store_item>& items() const noexcept
@@ -195,6 +209,11 @@
     revision listing_as_of_;
     source_era listing_era_;
     time_point call_started_at_;
+    /// Wait and kind of the latest call.
+    store_call latest_call_;
+    /// Time that the store takes for a response besides the wait of a watch.
+    duration latency_{};
+    duration timeout_margin_;
     time_point listing_started_at_;
     time_point confirmed_ = time_point::min();
     bool listed_ = false;
--- a/libs/configuration/src/source_relay.cpp
+++ b/libs/configuration/src/source_relay.cpp
@@ -1,6 +1,6 @@
 #include <parsleyshift/configuration/source_relay.hpp> // source_relay
 
-#include <algorithm> // count_if, find_if, max, move, none_of
+#include <algorithm> // any_of, count_if, find_if, max, min, move, none_of
 #include <iterator>  // back_inserter
 #include <utility>   // exchange, move
 
@@ -20,7 +20,7 @@
 std::optional<addressed_pull> source_relay::next_pull(const source_readers& readers, time_point now)
 {
     std::erase_if(avoided_, [now](const avoided_reader& each) { return each.until <= now; });
-    if (!watch_.listed() || silent_readers() >= settings_.max_silent_readers)
+    if (silent_readers() >= settings_.max_silent_readers)
     {
         return std::nullopt;
     }
@@ -34,38 +34,46 @@
     {
         return std::nullopt;
     }
-    pull_in_progress_ = sent_pull{reader->instance, ++last_pull_number_, now, to_lower_rank};
+    pull_in_progress_ = sent_pull{*reader, ++last_pull_number_, now, to_lower_rank};
     return addressed_pull{*reader, {last_pull_number_, watch_.as_of(), true, true, true, watch_.era()}};
 }
 
-source_relay::answer_result source_relay::handle_answer(const instance_id& from, const source_answer& answer,
+bool source_relay::pulls_from(const source_peer& peer) const
+{
+    return pull_in_progress_ && (pull_in_progress_->to.instance == peer.instance ||
+                                 (!peer.address.empty() && pull_in_progress_->to.address == peer.address));
+}
+
+source_relay::answer_result source_relay::handle_answer(const source_peer& from, const source_answer& answer,
                                                         time_point now)
 {
-    if (!pull_in_progress_ || from != pull_in_progress_->to || answer.pull_number != pull_in_progress_->number)
+    if (!pulls_from(from) || answer.pull_number != pull_in_progress_->number)
     {
         return answer_result::ignored;
     }
     if (answer.follows)
     {
-        return answer_result::announced;
+        pull_in_progress_->progresses = true;
+        return answer.in_progress ? answer_result::waiting : answer_result::announced;
     }
+    const instance_id reader = pull_in_progress_->to.instance;
     const time_point sent_at = pull_in_progress_->sent_at;
     const bool from_lower_rank = pull_in_progress_->to_lower_rank;
     pull_in_progress_.reset();
     const bool complete = answer.available || answer.complete;
     if (!complete || !watch_.is_current(answer.era, answer.at_revision) || answer.age < duration{})
     {
-        avoid(from, true, now);
+        avoid(reader, true, now);
         return answer_result::refused;
     }
     if (!watch_.apply_relayed(answer, sent_at))
     {
-        avoid(from, true, now);
+        avoid(reader, true, now);
         return answer_result::refused;
     }
     if (!answer.available)
     {
-        avoid(from, true, now);
+        avoid(reader, true, now);
         return answer_result::unconfirmed;
     }
     // An instance that follows a lower rank answers pulls at once without confirming its copy: the reader that it
@@ -82,7 +90,7 @@
     {
         return false;
     }
-    avoid(pull_in_progress_->to, false, now);
+    avoid(pull_in_progress_->to.instance, false, now);
     pull_in_progress_.reset();
     return true;
 }
@@ -113,8 +121,14 @@
         std::count_if(avoided_.begin(), avoided_.end(), [](const avoided_reader& each) { return !each.has_answered; }));
 }
 
+void source_relay::begin_read()
+{
+    reading_ = true;
+}
+
 void source_relay::record_read()
 {
+    reading_ = false;
     skip_watch_wait_ = false;
     source_unavailable_ = false;
     follows_lower_rank_ = false;
@@ -123,6 +137,7 @@
 
 void source_relay::record_failed_read(time_point retry_at)
 {
+    reading_ = false;
     skip_watch_wait_ = false;
     source_unavailable_ = true;
     next_direct_read_ = retry_at;
@@ -136,15 +151,21 @@
 {
     std::erase_if(pending_pulls_,
                   [&from](const pending_pull& pending) { return pending.from.instance == from.instance; });
-    const bool answer_after_next_read = watch_.listed() && !source_unavailable_ && watch_.is_current(pull);
-    if (answer_after_next_read)
+    // Two instances must not wait for each other.
+    const bool may_wait = !source_unavailable_ && !pulls_from(from);
+    if (may_wait && (!watch_.listed() || watch_.is_current(pull)))
     {
-        pending_pulls_.push_back({from, pull});
+        pending_pulls_.push_back({from, pull, now, now + settings_.progress_interval});
         return {};
     }
-    source_answer answer = watch_.answer_to(pull, now);
-    answer.available = answer.available && !source_unavailable_;
+    source_answer answer = watch_.answer_to(pull, now, now);
+    answer.available = answer.available && may_wait;
     std::vector<source_answer> answers;
+    if (pull.accepts_notice && size_of(answer) >= settings_.large_answer && !link_has_room(now))
+    {
+        pending_pulls_.push_back({from, pull, now, now + settings_.progress_interval, true});
+        return answers;
+    }
     if (auto notice = notice_before(answer, pull, now))
     {
         answers.push_back(std::move(*notice));
@@ -170,13 +191,49 @@
 }
 
 std::vector<addressed_answer> source_relay::take_pending_answers(bool successful, time_point now)
+{
+    return answer_pending(std::exchange(pending_pulls_, {}), successful, now);
+}
+
+std::vector<addressed_answer> source_relay::take_large_answers(time_point now)
+{
+    std::vector<pending_pull> waiting;
+    std::vector<pending_pull> others;
+    for (pending_pull& pending : pending_pulls_)
+    {
+        (pending.waits_for_link ? waiting : others).push_back(std::move(pending));
+    }
+    pending_pulls_ = std::move(others);
+    return answer_pending(std::move(waiting), !source_unavailable_, now);
+}
+
+time_point source_relay::next_large_answers() const
+{
+    const bool has_waiting = std::any_of(pending_pulls_.begin(), pending_pulls_.end(),
+                                         [](const pending_pull& pending) { return pending.waits_for_link; });
+    return has_waiting ? link_busy_until_ - settings_.max_queued_time : never;
+}
+
+std::vector<addressed_answer> source_relay::answer_pending(std::vector<pending_pull> pulls, bool successful,
+                                                           time_point now)
 {
     std::vector<addressed_answer> notices;
     std::vector<addressed_answer> answers;
-    for (pending_pull& pending : std::exchange(pending_pulls_, {}))
+    for (pending_pull& pending : pulls)
     {
-        source_answer answer = watch_.answer_to(pending.pull, now);
+        if (pending.waits_for_link && !link_has_room(now))
+        {
+            pending_pulls_.push_back(std::move(pending));
+            continue;
+        }
+        source_answer answer = watch_.answer_to(pending.pull, pending.arrived_at, now);
         answer.available = answer.available && successful;
+        if (pending.pull.accepts_notice && size_of(answer) >= settings_.large_answer && !link_has_room(now))
+        {
+            pending.waits_for_link = true;
+            pending_pulls_.push_back(std::move(pending));
+            continue;
+        }
         if (auto notice = notice_before(answer, pending.pull, now))
         {
             notices.push_back({pending.from, std::move(*notice)});
@@ -187,4 +244,33 @@
     return notices;
 }
 
+std::vector<addressed_answer> source_relay::take_progress_signs(time_point now)
+{
+    std::vector<addressed_answer> signs;
+    for (pending_pull& pending : pending_pulls_)
+    {
+        if (!progresses() || !pending.pull.accepts_notice || pending.next_sign_at > now)
+        {
+            continue;
+        }
+        pending.next_sign_at = now + settings_.progress_interval;
+        source_answer sign;
+        sign.pull_number = pending.pull.pull_number;
+        sign.follows = true;
+        sign.in_progress = true;
+        signs.push_back({pending.from, std::move(sign)});
+    }
+    return signs;
+}
+
+time_point source_relay::next_progress_sign() const
+{
+    time_point next = never;
+    for (const pending_pull& pending : pending_pulls_)
+    {
+        next = progresses() && pending.pull.accepts_notice ? std::min(next, pending.next_sign_at) : next;
+    }
+    return next;
+}
+
 } // namespace parsleyshift
--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -2,7 +2,7 @@
 
 #include <parsleyshift/compression/deflate.hpp> // compress, decompress
 
-#include <algorithm> // max, min, min_element
+#include <algorithm> // clamp, max, min, min_element
 #include <iterator>  // next
 #include <set>       // set
 #include <utility>   // move
@@ -19,7 +19,10 @@
 
 } // namespace
 
-store_watch::store_watch(store_watch_settings settings, std::uint64_t seed) : settings_(settings), random_(seed) {}
+store_watch::store_watch(store_watch_settings settings, std::uint64_t seed)
+    : settings_(settings), random_(seed), timeout_margin_(settings.timeout_margin)
+{
+}
 
 store_call store_watch::next(time_point now, bool no_wait)
 {
@@ -29,8 +32,11 @@
     {
         call.what = store_call::kind::watch;
         call.after = as_of_;
-        call.wait = no_wait ? duration{} : settings_.watch_wait;
-        call.max_response_bytes = settings_.watch_response_allowance + 2 * copy_bytes();
+        const duration longest_wait = std::max(settings_.max_watch_duration - latency_, duration{});
+        call.wait = no_wait ? duration{} : std::min(settings_.watch_wait, longest_wait);
+        const double bytes_in_latency = static_cast<double>(latency_.count()) * settings_.link_rate;
+        call.max_response_bytes =
+            settings_.watch_response_allowance + 2 * copy_bytes() + static_cast<std::size_t>(bytes_in_latency);
     }
     else
     {
@@ -42,11 +48,22 @@
         }
         call.after_key = last_key_;
     }
-    call.timeout = call.wait + settings_.timeout_margin;
+    call.timeout = call.wait + timeout_margin_;
     call.transfer_timeout = call.timeout + (listed_ ? settings_.max_transfer_time : settings_.max_first_listing_time);
+    latest_call_ = call;
     return call;
 }
 
+void store_watch::record_response(time_point now)
+{
+    const duration elapsed = now - call_started_at_;
+    // A watch whose response came before the end of its wait was answered with changes.
+    const bool waited = latest_call_.what == store_call::kind::watch && elapsed < latest_call_.wait;
+    latency_ = waited ? std::min(latency_, elapsed) : elapsed - latest_call_.wait;
+    timeout_margin_ =
+        std::clamp(latency_ * settings_.latency_multiple, settings_.timeout_margin, settings_.max_timeout_margin);
+}
+
 std::size_t store_watch::copy_bytes() const
 {
     std::size_t bytes = 0;
@@ -163,7 +180,8 @@
     {
         return true;
     }
-    if (answer.era > era_ && !answer.lists_all)
+    const bool needs_all = !listed_ || answer.era > era_;
+    if (needs_all && !answer.lists_all)
     {
         return false;
     }
@@ -196,6 +214,7 @@
     {
         listing_needed_ = false;
         listing_in_progress_ = false;
+        listed_ = true;
     }
     return true;
 }
@@ -234,7 +253,7 @@
     return {item.key, value.bytes, false, item.changed, true};
 }
 
-source_answer store_watch::answer_to(const source_pull& pull, time_point now)
+source_answer store_watch::answer_to(const source_pull& pull, time_point arrived_at, time_point now)
 {
     const source_era known_era = era_of(pull);
     // Revisions of an earlier era say nothing about this one, so that all items are new.
@@ -250,7 +269,7 @@
     {
         return answer;
     }
-    answer.age = now - confirmed_;
+    answer.age = std::max(std::min(arrived_at, now) - confirmed_, duration{});
     for (const auto& [key, item] : items_)
     {
         if (item.changed > after)
@@ -325,6 +344,7 @@
     // The pages of an interrupted listing may be too old to continue from.
     listing_in_progress_ = false;
     listing_needed_ = listing_needed_ || response_started;
+    timeout_margin_ = settings_.max_timeout_margin;
     consecutive_failures_ = std::min(consecutive_failures_ + 1, max_counted_failures);
     const duration base =
         std::min(settings_.initial_retry_delay * (1 << (consecutive_failures_ - 1)), settings_.max_retry_delay);
--- a/libs/configuration/tests/configuration_spread_test.cpp
+++ b/libs/configuration/tests/configuration_spread_test.cpp
@@ -236,6 +236,21 @@
     grow(region, 2'000_ms);
 }
 
+// The same for other times that the store takes for an answer.
+TEST(configuration_spread, a_configuration_that_grows_is_in_force_in_time_whatever_the_store_takes_for_an_answer)
+{
+    for (const duration one_way : {100_ms, 500_ms, 600_ms, 750_ms})
+    {
+        links = simulated_links{start};
+        confirmed.clear();
+        longest_age = {};
+        simulated_region region{links, {}};
+        settle(region);
+        region.set_store_delay(one_way);
+        grow(region, 2'000_ms);
+    }
+}
+
 // Guards against instances that keep what a store has lost, or miss what was written since, after it came back from a
 // copy twice in series.
 TEST(configuration_spread, a_store_that_comes_back_from_a_copy_is_followed_in_time)
--- a/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <parsleyshift/configuration/reader_ranking.hpp>  // reader_ranking_settings
 #include <parsleyshift/configuration/settings.hpp>        // configuration_settings
 #include <parsleyshift/core/clock.hpp>                    // duration
 #include <parsleyshift/entry/entry_selector.hpp>          // entry_policy
@@ -74,12 +75,13 @@
     /// are leaving. A watch of the source is answered within 0.7 s, and within a further 0.3 s while the source is
     /// slow.
     duration source_answer_timeout{1'150};
-    /// Number of instances of a region that its other instances may follow instead of reading the configuration source.
-    /// More than two are for the case that the source refuses the calls of the first ones.
-    std::size_t max_source_readers = 4;
+    /// Which instances of a region its other instances follow instead of reading the configuration source.
+    reader_ranking_settings source_readers{};
     /// A caller is assumed to have abandoned its stream after a pause of `silence_objective_multiple` times the route's
-    /// latency objective, but not before `min_silence`.
+    /// latency objective or `silence_gap_multiple` times its longest pause between events, whichever is longer, but not
+    /// before `min_silence`.
     int silence_objective_multiple = 4;
+    int silence_gap_multiple = 8;
     duration min_silence{2'000};
     /// Fraction of the abandon time within which a queued stream must start.
     double start_share_of_silence_limit = 0.75;
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -6,10 +6,11 @@
 #include "pool_manager.hpp"    // pool_manager
 #include "source_watch.hpp"    // source_watch
 
-#include <parsleyshift/core/hash.hpp> // rendezvous_score
+#include <parsleyshift/configuration/reader_ranking.hpp> // readers_for_rank
+#include <parsleyshift/core/hash.hpp>                    // rendezvous_score
 
-#include <algorithm>  // count_if, max, min, partial_sort
-#include <cstddef>    // ptrdiff_t
+#include <algorithm>  // count_if, max, min, sort
+#include <cstddef>    // ptrdiff_t, size_t
 #include <functional> // greater
 #include <utility>    // exchange, move, pair
 #include <variant>    // visit
@@ -48,6 +49,8 @@
     // four of them.
     settings.backoff.connect_failures_exempt_from_budget = true;
     settings.membership.join_retry_interval = duration{300};
+    settings.membership.second_view_delay = duration{3'000};
+    settings.membership.max_view_answers_per_second = 16;
     settings.membership.min_busy_announce_interval = duration{500};
     settings.entry.overloaded_percent = unavailable_percent - 1;
     return settings;
@@ -101,35 +104,9 @@
     {
         return state_.stopping;
     }
-    [[nodiscard]] source_readers reading_peers() const
+    [[nodiscard]] source_readers reading_peers()
     {
-        using scored_member = std::pair<std::uint64_t, const member_update*>;
-        std::vector<scored_member> candidates;
-        for (const member_update& member : state_.members.members())
-        {
-            if (member.state == member_state::alive && member.region == state_.self().region)
-            {
-                candidates.emplace_back(rendezvous_score("source reader", member.instance.value()), &member);
-            }
-        }
-        const std::size_t count = std::min(candidates.size(), state_.settings.forwarding.max_source_readers);
-        std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(),
-                          std::greater<>{});
-        candidates.resize(count);
-        source_readers readers;
-        bool ranks_higher = true;
-        for (const auto& [score, member] : candidates)
-        {
-            if (member->instance == state_.self().instance)
-            {
-                ranks_higher = false;
-            }
-            else if (!member->peer_address.empty())
-            {
-                (ranks_higher ? readers.preferred : readers.others).push_back({member->instance, member->peer_address});
-            }
-        }
-        return readers;
+        return state_.members.joined() ? ranked_readers() : seed_readers();
     }
     [[nodiscard]] const forwarding_limits& bounds() const
     {
@@ -396,11 +373,66 @@
     /// Joins the fleet through the seeds, which are named by their addresses until they have sent their own ids.
     void join()
     {
+            ranking_outdated_ = true;
+        }
+    }
+    /// Readers by rank among the members of the region.
+    source_readers ranked_readers()
+    {
+        if (std::exchange(ranking_outdated_, false))
+        {
+            rank_region();
         std::vector<listed_instance> seeds;
+        return readers_for_rank(ranking_, own_rank_, state_.settings.forwarding.source_readers);
+    }
+    void rank_region()
+    {
+        using scored_member = std::pair<std::uint64_t, const member_update*>;
+        std::vector<scored_member> scored;
+        for (const member_update& member : state_.members.members())
+        {
+            if (member.state == member_state::alive && member.region == state_.self().region)
+            {
+                scored.emplace_back(rendezvous_score("source reader", member.instance.value()), &member);
+            }
+        }
+        std::sort(scored.begin(), scored.end(), std::greater<>{});
+        ranking_.clear();
+        own_rank_ = scored.size();
+        for (const auto& [score, member] : scored)
+        {
+            own_rank_ = member->instance == state_.self().instance ? ranking_.size() : own_rank_;
+            ranking_.push_back({member->instance, member->peer_address});
+        }
+    }
+    /// Readers before this instance knows the members of its region: the seeds, which read the source themselves, each
+    /// instance beginning with another one.
+    [[nodiscard]] source_readers seed_readers() const
+    {
+        source_readers readers;
+        for (const std::string& address : hints_.seeds)
+        {
+            if (address == state_.self().peer_address)
+            {
+                return {};
+            }
+            readers.preferred.push_back({seed_name(address), address});
+        }
+        std::sort(readers.preferred.begin(), readers.preferred.end(),
+                  [this](const source_peer& left, const source_peer& right)
+                  {
+                      const std::string& self = state_.self().instance.value();
+                      return rendezvous_score(self, left.address) > rendezvous_score(self, right.address);
+                  });
+        return readers;
+    }
+    static instance_id seed_name(const std::string& address)
+    {
+        return instance_id{"seed " + address};
         for (const std::string& address : hints_.seeds)
         {
             listed_instance seed;
-            seed.id = "seed " + address;
+            seed.id = seed_name(address).value();
             seed.peer_address = address;
             seed.region = state_.self().region;
             if (address != state_.self().peer_address)
@@ -538,6 +570,10 @@
     time_point next_purge_;
     time_point next_quarantine_exchange_;
     time_point next_readiness_check_;
+    /// The alive instances of the region, highest rank as a reader of the source first, and the rank of this one.
+    std::vector<source_peer> ranking_;
+    std::size_t own_rank_ = 0;
+    bool ranking_outdated_ = true;
 };
 
 result<forwarding_core> forwarding_core::make(core_settings settings, bootstrap_settings hints)
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
@@ -70,7 +70,8 @@
               [this](event what) { feed(std::move(what)); }, [this] { end_batch(); }),
           load_reader_(
               context_, protocol_, [this](event what) { feed(std::move(what)); }, [this] { end_batch(); }),
-          store_reader_(context_, settings_.store_address, protocol_, seed, store_callbacks()),
+          store_reader_(context_, settings_.store_address, protocol_, seed, settings_.link_mbps * bytes_per_ms_and_mbps,
+                        store_callbacks()),
           entry_handler_([this](const auto& session, const http_request& request)
                          { handle_entry_request(session, request); },
                          [this] { end_batch(); }),
@@ -140,6 +141,8 @@
   private:
     static constexpr std::size_t peer_channel_capacity = 1024;
     static constexpr duration settings_poll_interval{1'000};
+    /// Bytes per millisecond of a link of 1 Mbit/s.
+    static constexpr double bytes_per_ms_and_mbps = 125.0;
     /// File descriptors kept for endpoints, peers, listeners and files; the others are for callers.
     static constexpr std::int64_t reserved_descriptors = 700;
 
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -8,7 +8,7 @@
 #include <parsleyshift/messages/store.hpp>                 // store_read
 #include <parsleyshift/runtime/http_client.hpp>            // http_client
 
-#include <algorithm>  // min
+#include <algorithm>  // max, min
 #include <cstddef>    // size_t
 #include <cstdint>    // uint64_t
 #include <functional> // function
@@ -55,16 +55,18 @@
 
     /// @param address "ip:port" of the store
     /// @param seed of the random delays between retries
+    /// @param link_rate rate of this instance's link in bytes per millisecond
     store_reader(asio::io_context& context, std::string address, const P& protocol, std::uint64_t seed,
-                 callbacks functions)
+                 double link_rate, callbacks functions)
         : address_(std::move(address)),
           protocol_(protocol),
-          watch_(store_watch_settings{}, seed),
-          relay_(watch_),
+          watch_(watch_settings(link_rate), seed),
+          relay_(watch_, relay_settings(link_rate)),
           callbacks_(std::move(functions)),
           client_(context, client_options(callbacks_.batch_done)),
           retry_timer_(context),
-          pull_timer_(context)
+          pull_timer_(context),
+          progress_timer_(context)
     {
     }
     /// @brief Starts reading; it goes on until close().
@@ -78,6 +80,7 @@
         closed_ = true;
         retry_timer_.cancel();
         pull_timer_.cancel();
+        progress_timer_.cancel();
         client_.close();
     }
     /// @brief Handles a peer's pull: answers it at once, or after a later response of the store.
@@ -91,19 +94,22 @@
         {
             send_answer(from, std::move(answer));
         }
+        schedule_pending_pulls();
     }
     /// @brief Handles a peer's answer to a pull of this instance.
     void handle(const source_peer& from, const source_answer& answer)
     {
-        const auto reception = relay_.handle_answer(from.instance, answer, millisecond_clock::now());
+        const auto reception = relay_.handle_answer(from, answer, millisecond_clock::now());
         if (closed_ || reception == source_relay::answer_result::ignored)
         {
             return;
         }
         pull_timer_.cancel();
-        if (reception == source_relay::answer_result::announced)
+        if (reception == source_relay::answer_result::announced || reception == source_relay::answer_result::waiting)
         {
-            schedule_pull_timeout(answer.pull_number, relay_.transfer_timeout());
+            const bool waiting = reception == source_relay::answer_result::waiting;
+            schedule_pull_timeout(answer.pull_number, waiting ? relay_.answer_timeout() : relay_.transfer_timeout());
+            schedule_pending_pulls();
             return;
         }
         const bool confirmed = reception == source_relay::answer_result::accepted;
@@ -117,6 +123,20 @@
     }
 
   private:
+    static store_watch_settings watch_settings(double link_rate)
+    {
+        store_watch_settings settings;
+        settings.link_rate = link_rate;
+        return settings;
+    }
+    static source_relay_settings relay_settings(double link_rate)
+    {
+        // The rest of the link is for callers and endpoints.
+        constexpr double relay_share = 0.8;
+        source_relay_settings settings;
+        settings.min_link_rate = link_rate * relay_share;
+        return settings;
+    }
     static http_client_options client_options(std::function<void()> batch_done)
     {
         http_client_options options;
@@ -133,6 +153,37 @@
         callbacks_.on_relayed(size_of(answer));
         callbacks_.send(to, std::move(answer));
     }
+    /// Schedules what the pulls that wait at this instance need: large answers when the link has room for them, and
+    /// signs that this instance is alive.
+    void schedule_pending_pulls()
+    {
+        const time_point next = std::min(relay_.next_progress_sign(), relay_.next_large_answers());
+        if (next == never || next == pending_pulls_due_at_)
+        {
+            return;
+        }
+        pending_pulls_due_at_ = next;
+        progress_timer_.expires_after(std::max(next - millisecond_clock::now(), duration{1}));
+        progress_timer_.async_wait(
+            [this](const boost::system::error_code& failure)
+            {
+                if (failure || closed_)
+                {
+                    return;
+                }
+                pending_pulls_due_at_ = never;
+                for (addressed_answer& answer : relay_.take_large_answers(millisecond_clock::now()))
+                {
+                    send_answer(answer.to, std::move(answer.answer));
+                }
+                for (addressed_answer& sign : relay_.take_progress_signs(millisecond_clock::now()))
+                {
+                    send_answer(sign.to, std::move(sign.answer));
+                }
+                schedule_pending_pulls();
+                callbacks_.batch_done();
+            });
+    }
     void begin_read(store_read_source source, std::string request)
     {
         current_read_ = store_read{};
@@ -185,6 +236,8 @@
         const time_point now = millisecond_clock::now();
         const store_call next_call = watch_.next(now, relay_.skip_watch_wait());
         const bool is_listing = next_call.what == store_call::kind::list;
+        relay_.begin_read();
+        schedule_pending_pulls();
         begin_read(store_read_source::store, is_listing ? "list" : "watch");
         http_call request;
         request.address = address_;
@@ -208,6 +261,10 @@
     void on_response(bool is_listing, const http_result& response)
     {
         constexpr unsigned ok = 200;
+        if (response.has_value())
+        {
+            watch_.record_response(millisecond_clock::now());
+        }
         if (!response.has_value())
         {
             const http_failure& failure = response.error();
@@ -363,6 +420,7 @@
         {
             send_answer(pending.to, std::move(pending.answer));
         }
+        schedule_pending_pulls();
     }
     /// Decodes the item of a key and feeds it to the core if it is a configuration; endpoints are only stored.
     /// @return true when the item is or was an endpoint
@@ -417,6 +475,9 @@
     http_client client_;
     steady_timer retry_timer_;
     steady_timer pull_timer_;
+    steady_timer progress_timer_;
+    /// Time for which progress_timer_ is scheduled; `never` when it is not.
+    time_point pending_pulls_due_at_ = never;
     /// Time of the last configuration_confirmed event.
     time_point last_confirmed_ = time_point::min();
     /// Era of the items that were last fed to the core.
--- a/libs/membership/include/parsleyshift/membership/membership.hpp
+++ b/libs/membership/include/parsleyshift/membership/membership.hpp
@@ -227,6 +227,8 @@
     std::uint64_t next_sequence_ = 1;
     bool joined_ = false;
     bool view_received_ = false;
+    /// Requests for a first view that have been sent.
+    int view_requests_ = 0;
     /// A view after the first one has arrived; reset when many changes require another one.
     bool second_view_received_ = false;
     bool superseded_ = false;
--- a/libs/membership/src/probing.cpp
+++ b/libs/membership/src/probing.cpp
@@ -15,6 +15,8 @@
 /// Smallest number from which on another member is asked for its whole view: of dead members when one returns, since a
 /// partition may have healed, and of changes since the last view, since updates may be missing.
 constexpr std::size_t min_resync_count = 8;
+/// Requests for a first view that go to listed peers only; of the further ones half go to members.
+constexpr int max_requests_to_seeds_alone = 3;
 
 } // namespace
 
@@ -190,6 +192,13 @@
         request_view_from_member(out);
         return;
     }
+    // Seeds that many instances ask at once answer only some of them; others have learned of this instance by then.
+    const bool is_repeated = ++view_requests_ > max_requests_to_seeds_alone;
+    if (is_repeated && table_.live_count() > 1 && random_.fraction() < 0.5)
+    {
+        request_view_from_member(out);
+        return;
+    }
     if (join_candidates_.empty())
     {
         next_view_request_ = never;
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -429,6 +429,8 @@
 
 using peer_message =
     std::variant<probe, probe_ack, probe_request, member_updates, configuration_digest, configuration_pull,
+    /// With `follows`: the reader waits for its own read and will answer after it.
+    bool in_progress = false;
                  configuration_records, permit_request, permit_grant, permit_denial, permit_withdrawal, permit_return,
                  permit_registration, order_forward, order_reply, budget_loan, budget_request, quarantine_notice,
                  permit_queued, stream_takeover, endpoint_health_notice, source_pull, source_answer,
--- a/libs/records/include/parsleyshift/records/forwarder_settings.hpp
+++ b/libs/records/include/parsleyshift/records/forwarder_settings.hpp
@@ -49,6 +49,8 @@
     duration stop_grace{8'000};
     /// Largest number of file descriptors that the process may open.
     std::int64_t max_descriptors = 1'024;
+    /// Rate of the instance's network link in Mbit/s.
+    double link_mbps = 10.0;
     /// Lowest severity that is logged.
     std::string log_level = "info";
 };
--- a/libs/records/src/forwarder_settings.cpp
+++ b/libs/records/src/forwarder_settings.cpp
@@ -73,6 +73,10 @@
                {.description = "Largest number of file descriptors that the process may open.",
                 .minimum = 256,
                 .maximum = 10'000'000})
+        .field("link_mbps", &forwarder_settings::link_mbps,
+               {.description = "Rate of the instance's network link in Mbit/s, by which data for peers is paced.",
+                .minimum = 1,
+                .maximum = 1'000'000})
         .field("log_level", &forwarder_settings::log_level,
                {.description = "Lowest severity that is logged.", .pattern = "^(debug|info|warning|error)$"});
 }
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -257,6 +257,7 @@
 
 union message
 {
+    11: bool in_progress
     1: probe probe_value
     2: probe_ack probe_ack_value
     3: probe_request probe_request_value
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -469,6 +469,7 @@
 
 /// @brief Calls `visit(member, message_type, is_set)` for each member of the union; the result says whether it is set.
 void for_each_member(wire_format::message& m, auto visit)
+    copy(wire.in_progress, value.in_progress);
 {
     auto& set = m.__isset;
     set.probe_value = visit(m.probe_value, message_type<probe>{}, set.probe_value);
