--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -139,10 +139,18 @@
     }
 }
 
-void core_state::synchronize_start_limits()
+void core_state::synchronize_endpoint_notices()
 {
-    const auto notices = start_limits.notices(now);
-    const member_update* peer = notices.empty() ? nullptr : draw_live_peer();
+    std::unordered_set<endpoint_id> stated;
+    for (const endpoint_notice& notice : start_limits.notices(now))
+    {
+        stated.insert(notice.endpoint);
+    }
+    for (const endpoint_id& endpoint : departures.current(now))
+    {
+        stated.insert(endpoint);
+    }
+    const member_update* peer = stated.empty() ? nullptr : draw_live_peer();
     if (peer == nullptr)
     {
         return;
@@ -152,6 +160,28 @@
         send(peer->instance, peer->peer_address, notice);
     }
 }
+endpoint_notice core_state::notice_of(const endpoint_id& endpoint) const
+{
+    endpoint_notice notice = start_limits.notice_of(endpoint, now);
+    notice.leaving = departures.contains(endpoint);
+    notice.started = departures.process_of(endpoint);
+    return notice;
+}
+
+start_obstacle core_state::obstacle_to_start(const endpoint_id& endpoint) const
+{
+    const endpoint_entry* entry = directory.find(endpoint);
+    if (entry == nullptr)
+    {
+        return start_obstacle::not_listed;
+    }
+    if (entry->leaving)
+    {
+        return start_obstacle::leaving;
+    }
+    return pauses.end(endpoint, now) ? start_obstacle::paused : start_obstacle::none;
+}
+
 
 const member_update* core_state::draw_live_peer()
 {
@@ -180,7 +210,7 @@
 
 void core_state::probe(const endpoint_id& endpoint, const std::string& address)
 {
-    if (probed_.insert(endpoint).second)
+    if (!pauses.end(endpoint, now) && probed_.insert(endpoint).second)
     {
         emit(probe_endpoint{endpoint, address});
     }
@@ -239,7 +269,7 @@
     std::vector<const endpoint_entry*> usable;
     for (const endpoint_entry* entry : directory.endpoints())
     {
-        if (!entry->leaving && !start_limits.limit(entry->endpoint))
+        if (obstacle_to_start(entry->endpoint) == start_obstacle::none && !start_limits.limit(entry->endpoint))
         {
             usable.push_back(entry);
         }
@@ -345,6 +375,9 @@
             endpoint_died(removed.endpoint);
         }
         health.remove(removed.endpoint);
+        pauses.remove(removed.endpoint);
+        departures.remove(removed.endpoint);
+        rejected_statements.erase(removed.endpoint);
         start_limits.remove(removed.endpoint);
         ledger.remove(removed.endpoint);
         prefixes.remove(removed.endpoint);
@@ -356,6 +389,13 @@
     for (const auto& leaving : change.leaving)
     {
         log(log_event::endpoint_leaving, leaving.value());
+    for (const listed_instance& listed : list.instances)
+    {
+        if (listed.leaving)
+        {
+            departures.remove(endpoint_id{listed.id});
+        }
+    }
     }
     return change;
 }
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "record_view.hpp" // record_view, parsing_acceptor
+#include "record_view.hpp"    // record_view, parsing_acceptor
+#include "start_obstacle.hpp" // start_obstacle
 
 #include <parsleyshift/configuration/configuration_store.hpp> // configuration_store
 #include <parsleyshift/core/random_source.hpp>                // random_source
@@ -17,12 +18,14 @@
 #include <parsleyshift/routing/endpoint_costs.hpp>            // endpoint_chooser
 #include <parsleyshift/routing/endpoint_directory.hpp>        // endpoint_directory
 #include <parsleyshift/routing/endpoint_health.hpp>           // endpoint_health
+#include <parsleyshift/routing/endpoint_pauses.hpp>           // endpoint_pauses
 #include <parsleyshift/routing/endpoint_reachability.hpp>     // endpoint_reachability
 #include <parsleyshift/routing/endpoint_start_limits.hpp>     // endpoint_start_limits
 #include <parsleyshift/routing/in_flight_tracker.hpp>         // in_flight_tracker
 #include <parsleyshift/routing/peer_health.hpp>               // peer_health
 #include <parsleyshift/routing/prefix_index.hpp>              // prefix_index
 #include <parsleyshift/routing/retry_policy.hpp>              // budgeted_retry
+#include <parsleyshift/routing/stated_departures.hpp>         // stated_departures
 #include <parsleyshift/scheduling/length_estimator.hpp>       // length_estimator
 
 #include <deque>         // deque
@@ -101,6 +104,10 @@
     endpoint_health health;
     peer_health reported_health;
     endpoint_start_limits start_limits;
+    endpoint_pauses pauses;
+    stated_departures departures;
+    /// Endpoints whose statements could not be read, each logged once.
+    std::unordered_set<endpoint_id> rejected_statements;
     endpoint_reachability reachability;
     /// The links to all endpoints were lost, and the requests in progress have not been notified.
     bool links_lost = false;
@@ -156,10 +163,15 @@
     /// @brief Records the end of an attempt in ledger and quarantine and sends a resulting quarantine notice to peers.
     /// @param memory KV cache that the ledger has reserved for the attempt, in tokens; 0 for plain services
     void record_attempt_end(attempt_id attempt, const endpoint_id& endpoint, std::int64_t memory, run_end end);
-    /// @brief Sends a notice to randomly chosen live peers, which forward it when it is new to them.
-    void spread(const peer_message& notice);
-    /// @brief Sends what is known about the limits of endpoints to a peer, which may have missed notices or be new.
-    void synchronize_start_limits();
+    /// @brief Sends notices to randomly chosen live peers, which forward them when they are new to them.
+    void spread(const std::vector<peer_message>& notices);
+    /// @brief Sends what endpoints have stated about themselves to a peer, which may have missed notices or be new.
+    void synchronize_endpoint_notices();
+    /// @brief What an endpoint has stated about itself, for peers.
+    [[nodiscard]] endpoint_notice notice_of(const endpoint_id& endpoint) const;
+    /// @brief Decides whether an endpoint may get a request of this instance now, from all that is known about it but
+    /// limits that are counted over all instances.
+    [[nodiscard]] start_obstacle obstacle_to_start(const endpoint_id& endpoint) const;
     /// @brief Sends quarantine notices to randomly chosen live peers.
     void send_quarantine_notices(const std::vector<quarantine_notice>& notices);
     /// @brief Handles the death of an endpoint's process: quarantines the requests that ran there and sends the
--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -162,6 +162,10 @@
     }
     if (!admission_.capacity)
     {
+    if (reject_if_all_pause())
+    {
+        return;
+    }
         select_plain_endpoint();
         return;
     }
@@ -174,7 +178,27 @@
 
 void forwarded_request::select_plain_endpoint()
 {
-    const auto chosen = choose_plain_endpoint(state_, admission_.service, tried_endpoints_, denied_endpoints_);
+bool forwarded_request::reject_if_all_pause()
+{
+    const std::optional<time_point> end = pools_.first_pause_end(admission_.service);
+    if (!end)
+    {
+        return false;
+    }
+    reject(make_error(error_kind::no_endpoint,
+                      "all endpoints of service " + admission_.service.value() +
+                          " accept no requests of this instance for a time; send the request again after it",
+                      state_.draw_retry_after(*end - state_.now)));
+    return true;
+}
+
+    std::vector<endpoint_id> excluded = denied_endpoints_;
+    for (const pool_id& pool : state_.directory.pools_of(admission_.service))
+    {
+        const std::vector<endpoint_id> paused = pools_.paused_endpoints(pool);
+        excluded.insert(excluded.end(), paused.begin(), paused.end());
+    }
+    const auto chosen = choose_plain_endpoint(state_, admission_.service, tried_endpoints_, excluded);
     if (!chosen)
     {
         reject(denial_.value_or(make_error(error_kind::no_endpoint,
@@ -182,7 +206,7 @@
                                            state_.draw_retry_after(default_expected_wait))));
         return;
     }
-    if (state_.start_limits.limit(*chosen))
+    if (pools_.needs_grant(*state_.directory.find(*chosen)))
     {
         if (!permit_)
         {
@@ -207,7 +231,7 @@
     denial_ = denial;
     for (const endpoint_entry* entry : state_.directory.endpoints_of(permit_->pool()))
     {
-        if (state_.start_limits.limit(entry->endpoint))
+        if (pools_.needs_grant(*entry))
         {
             denied_endpoints_.push_back(entry->endpoint);
         }
@@ -260,6 +284,11 @@
     }
     if (const auto local_grant = permit_->on_timer(due))
     {
+    const bool needs_permit = permit_->waiting() || due.kind == timer_kind::retry_due;
+    if (needs_permit && !permit_->permit() && reject_if_all_pause())
+    {
+        return;
+    }
         on_permit_granted(*local_grant, false);
     }
 }
@@ -281,6 +310,7 @@
     endpoint_address_ = entry->address;
     tried_endpoints_.push_back(endpoint);
     send_attempt(std::nullopt);
+    endpoint_process_ = entry->started;
     state_.emit(record_sample{histogram::queue_ms, admission_.work_class, admission_.customer,
                               (state_.now - arrived_at_).count()});
 }
@@ -360,7 +390,7 @@
     if (!relaying_)
     {
         state_.endpoint_answered();
-        pools_.record_start_limit(endpoint_, answer.starts_per_second, attempt_started_at_);
+        pools_.record_answer(endpoint_, endpoint_process_, answer.statement, attempt_started_at_);
     }
     if (answer_delivered_)
     {
@@ -526,7 +556,12 @@
     record_link_evidence(failure);
     if (failure == attempt_failure::not_started)
     {
-        pools_.record_start_limit(endpoint_, failed.starts_per_second, attempt_started_at_);
+    // An endpoint of another process has answered with attempt_failure::leaving.
+    if (failed.statement && failure != attempt_failure::leaving)
+    {
+        pools_.record_answer(endpoint_, endpoint_process_, *failed.statement, attempt_started_at_);
+    }
+        pools_.reject_for_room(endpoint_);
     }
     if (move_ && move_->stop_requested && failure == attempt_failure::link_broken)
     {
--- a/libs/decision_core/src/forwarded_request.hpp
+++ b/libs/decision_core/src/forwarded_request.hpp
@@ -163,6 +163,9 @@
     void end_attempt(run_end ending, bool completed);
     void retry_or_reject(attempt_failure failure);
     void reject_for_part(const part_verdict& verdict);
+    /// Rejects the request with the time to wait if no endpoint of its service accepts requests of this instance now.
+    /// @return true when it was rejected
+    bool reject_if_all_pause();
     void check_silence();
     void reject(error reason);
     void complete_stream(const forward_completed& completed);
@@ -189,8 +192,10 @@
     /// The attempt in progress; default-constructed when there is none.
     attempt_id attempt_;
     endpoint_id endpoint_;
-    /// Copy of the endpoint's address, since the endpoint may be removed from the list during the attempt.
+    /// Copies of the endpoint's address and process start number, since the endpoint may be removed from the list or be
+    /// replaced during the attempt.
     std::string endpoint_address_;
+    incarnation endpoint_process_;
     /// The attempt in progress was passed on to another instance.
     bool relaying_ = false;
     std::vector<instance_id> relays_;
--- a/libs/decision_core/src/forwarded_request_moves.cpp
+++ b/libs/decision_core/src/forwarded_request_moves.cpp
@@ -9,11 +9,10 @@
 
 bool forwarded_request::can_move_to(const permit_grant& grant) const
 {
-    const endpoint_entry* entry = state_.directory.find(grant.endpoint);
     const bool is_running = permit_ && permit_->permit() && attempt_ != attempt_id{};
     const bool is_other_engine = is_running && grant.endpoint != endpoint_ && permit_->permit()->permit != grant.permit;
     return is_other_engine && !move_ && admission_.capacity && admission_.capacity->supports_run_moves &&
-           entry != nullptr && !entry->leaving;
+           state_.obstacle_to_start(grant.endpoint) == start_obstacle::none;
 }
 
 void forwarded_request::start_move(const permit_grant& grant)
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -201,9 +201,14 @@
             pools_.endpoint_leaving(reported.report.endpoint);
         }
     }
+    void on(const load_unavailable& unavailable)
+    {
+        pools_.record_availability(unavailable.endpoint, unavailable.statement);
+    }
     void on(const endpoint_probed& probed)
     {
         state_.handle(probed);
+        pools_.record_availability(probed.endpoint, probed.statement);
     }
     void on(const instances_listed& listed)
     {
@@ -368,11 +373,6 @@
         {
             pools_.members_changed();
             topology_changed_ = true;
-        }
-    }
-    /// Joins the fleet through the seeds, which are named by their addresses until they have sent their own ids.
-    void join()
-    {
             ranking_outdated_ = true;
         }
     }
@@ -382,7 +382,7 @@
         if (std::exchange(ranking_outdated_, false))
         {
             rank_region();
-        std::vector<listed_instance> seeds;
+        }
         return readers_for_rank(ranking_, own_rank_, state_.settings.forwarding.source_readers);
     }
     void rank_region()
@@ -429,6 +429,11 @@
     static instance_id seed_name(const std::string& address)
     {
         return instance_id{"seed " + address};
+    }
+    /// Joins the fleet through the seeds, which are named by their addresses until they have sent their own ids.
+    void join()
+    {
+        std::vector<listed_instance> seeds;
         for (const std::string& address : hints_.seeds)
         {
             listed_instance seed;
@@ -511,7 +516,7 @@
         if (next_quarantine_exchange_ <= state_.now)
         {
             state_.synchronize_quarantine();
-            state_.synchronize_start_limits();
+            state_.synchronize_endpoint_notices();
             next_quarantine_exchange_ = state_.now + quarantine_exchange_interval;
         }
         if (next_purge_ <= state_.now)
@@ -519,6 +524,7 @@
             state_.quarantine.purge(state_.now);
             state_.blocked_parts.purge(state_.now);
             state_.reported_health.purge(state_.now);
+            state_.pauses.purge(state_.now);
             next_purge_ = state_.now + purge_interval;
         }
     }
@@ -564,16 +570,16 @@
     bootstrap_settings hints_;
     bool join_pending_ = true;
     bool topology_changed_ = false;
+    /// The alive instances of the region, highest rank as a reader of the source first, and the rank of this one.
+    std::vector<source_peer> ranking_;
+    std::size_t own_rank_ = 0;
+    bool ranking_outdated_ = true;
     bool stop_completed_ = false;
     time_point stop_started_at_;
     time_point next_stop_check_ = never;
     time_point next_purge_;
     time_point next_quarantine_exchange_;
     time_point next_readiness_check_;
-    /// The alive instances of the region, highest rank as a reader of the source first, and the rank of this one.
-    std::vector<source_peer> ranking_;
-    std::size_t own_rank_ = 0;
-    bool ranking_outdated_ = true;
 };
 
 result<forwarding_core> forwarding_core::make(core_settings settings, bootstrap_settings hints)
--- a/libs/decision_core/src/permit_holder.cpp
+++ b/libs/decision_core/src/permit_holder.cpp
@@ -48,7 +48,8 @@
 
 void permit_holder::send_request()
 {
-    state_.send(pools_.scheduler_instance_of(pool_), permit_request{pool_, work_, pools_.known_limits(pool_)});
+    state_.send(pools_.scheduler_instance_of(pool_),
+                permit_request{pool_, work_, pools_.known_limits(pool_), pools_.paused_endpoints(pool_)});
 }
 
 void permit_holder::add_timer(timer_kind kind, duration wait)
@@ -101,15 +102,19 @@
 
 bool permit_holder::accept(const permit_grant& grant, bool from_scheduler)
 {
-    const endpoint_entry* entry = state_.directory.find(grant.endpoint);
-    const bool usable = waiting_ && entry != nullptr && !entry->leaving &&
-                        state_.quarantine.may_run(fingerprint_, grant.endpoint, state_.now);
-    if (usable)
+    const start_obstacle obstacle = state_.obstacle_to_start(grant.endpoint);
+    const bool may_run = state_.quarantine.may_run(fingerprint_, grant.endpoint, state_.now);
+    if (waiting_ && obstacle == start_obstacle::none && may_run)
     {
         waiting_ = false;
         permit_ = grant;
         return true;
     }
+    if (waiting_)
+    {
+        state_.log(log_event::permit_declined, "endpoint=" + grant.endpoint.value() +
+                                                   " why=" + std::string{may_run ? name_of(obstacle) : "quarantine"});
+    }
     if (from_scheduler && (!permit_ || permit_->permit != grant.permit))
     {
         state_.send(pools_.scheduler_instance_of(pool_),
--- a/libs/decision_core/src/pool_manager.cpp
+++ b/libs/decision_core/src/pool_manager.cpp
@@ -25,6 +25,10 @@
 constexpr double output_token_weight = 10.0;
 /// Slots assumed for an endpoint of a plain service.
 constexpr std::int64_t plain_slots = 64;
+/// Slots assumed for an endpoint of a brittle plain service whose number of slots is not listed.
+constexpr std::int64_t unlisted_brittle_slots = 2;
+/// Time for which this instance sends nothing to a brittle endpoint that has rejected a request for want of room.
+constexpr duration brittle_pause{1'000};
 /// Time between two advances after which the process must have been frozen, so that another instance may have taken
 /// over its pools.
 constexpr duration max_advance_interval{2'000};
@@ -113,7 +117,8 @@
 
 std::optional<endpoint_id> pool_manager::choose_locally(const pool_id& pool, std::int64_t memory)
 {
-    return get_or_make_chooser(pool).choose(memory);
+    const std::vector<endpoint_id> paused = paused_endpoints(pool);
+    return get_or_make_chooser(pool).choose(memory, paused);
 }
 
 void pool_manager::attempt_started(const pool_id& pool, const endpoint_id& endpoint, std::int64_t memory)
@@ -200,7 +205,7 @@
 
 void pool_manager::handle(const instance_id& from, const permit_request& request)
 {
-    for (const endpoint_limit_notice& notice : request.limits)
+    for (const endpoint_notice& notice : request.notices)
     {
         handle(from, notice);
     }
@@ -254,18 +259,26 @@
 
 void pool_manager::assume_loads(scheduler& local_scheduler, const pool_id& pool)
 {
+    const bool has_brittle = has_brittle_endpoint(pool);
     for (const endpoint_entry* entry : state_.directory.endpoints_of(pool))
     {
         load_report assumed;
         assumed.endpoint = entry->endpoint;
         assumed.as_of = state_.now;
-        assumed.slots = plain_slots;
+        const std::int64_t brittle_slots = entry->slots > 0 ? entry->slots : unlisted_brittle_slots;
+        assumed.slots = has_brittle ? brittle_slots : plain_slots;
         send_decisions(local_scheduler.report(assumed, state_.now));
     }
 }
 
-void pool_manager::handle(const instance_id& from, const endpoint_limit_notice& notice)
+void pool_manager::handle(const instance_id& from, const endpoint_notice& notice)
 {
+    if (notice.leaving && state_.directory.handle_leaving(notice.endpoint, notice.started))
+    {
+        state_.departures.record(notice.endpoint, notice.started, state_.now);
+        state_.log(log_event::endpoint_leaving, notice.endpoint.value() + " peer=" + from.value());
+        endpoint_leaving(notice.endpoint);
+    }
     const endpoint_entry* entry = state_.directory.find(notice.endpoint);
     if (entry != nullptr && state_.start_limits.merge(notice, state_.now))
     {
@@ -273,28 +286,128 @@
     }
 }
 
-void pool_manager::record_start_limit(const endpoint_id& endpoint, std::optional<double> starts_per_second,
-                                      time_point sent)
+void pool_manager::record_answer(const endpoint_id& endpoint, incarnation process, const endpoint_statement& stated,
+                                 time_point sent)
 {
     const endpoint_entry* entry = state_.directory.find(endpoint);
-    if (entry != nullptr && state_.start_limits.record_answer(endpoint, starts_per_second, sent, state_.now))
+    if (entry == nullptr || entry->started != process)
+    {
+        return;
+    }
+    if (stated.unreadable.empty() && state_.start_limits.record_answer(endpoint, stated, sent, state_.now))
     {
         start_limit_changed(*entry, {});
     }
+    record_availability(endpoint, stated);
+}
+
+void pool_manager::record_availability(const endpoint_id& endpoint, const endpoint_statement& stated)
+{
+    const endpoint_entry* entry = state_.directory.find(endpoint);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    if (stated.pause)
+    {
+        state_.pauses.record(endpoint, *stated.pause, state_.now);
+        state_.log(log_event::endpoint_paused, endpoint.value() + " pause_ms=" + std::to_string(stated.pause->count()));
+    }
+    if (!stated.unreadable.empty() && state_.rejected_statements.insert(endpoint).second)
+    {
+        state_.log(log_event::endpoint_statement_rejected, endpoint.value() + " " + stated.unreadable);
+    }
+    if (!stated.leaving || entry->leaving)
+    {
+        return;
+    }
+    state_.mark_endpoint_leaving(endpoint);
+    state_.departures.record(endpoint, entry->started, state_.now);
+    endpoint_leaving(endpoint);
+    const instance_id& scheduling = scheduler_instance_of(entry->pool);
+    if (scheduling != state_.self().instance)
+    {
+        // The scheduler must not grant further starts there, and offers other engines to the runs.
+        state_.send(scheduling, state_.notice_of(endpoint));
+    }
+}
+
+void pool_manager::reject_for_room(const endpoint_id& endpoint)
+{
+    const endpoint_entry* entry = state_.directory.find(endpoint);
+    if (entry != nullptr && has_brittle_endpoint(entry->pool))
+    {
+        state_.pauses.record(endpoint, brittle_pause, state_.now);
+    }
 }
 
-std::vector<endpoint_limit_notice> pool_manager::known_limits(const pool_id& pool) const
+bool pool_manager::has_brittle_endpoint(const pool_id& pool) const
 {
-    std::vector<endpoint_limit_notice> known;
+    if (state_.start_limits.empty())
+    {
+        return false;
+    }
+    const std::vector<const endpoint_entry*>& members = state_.directory.endpoints_of(pool);
+    return std::any_of(members.begin(), members.end(),
+                       [this](const endpoint_entry* entry) { return state_.start_limits.brittle(entry->endpoint); });
+}
+
+bool pool_manager::needs_grant(const endpoint_entry& entry) const
+{
+    return state_.start_limits.limit(entry.endpoint).has_value() || has_brittle_endpoint(entry.pool);
+}
+
+std::vector<endpoint_id> pool_manager::paused_endpoints(const pool_id& pool) const
+{
+    std::vector<endpoint_id> paused;
+    if (state_.pauses.empty())
+    {
+        return paused;
+    }
+    for (const endpoint_entry* entry : state_.directory.endpoints_of(pool))
+    {
+        if (state_.pauses.end(entry->endpoint, state_.now))
+        {
+            paused.push_back(entry->endpoint);
+        }
+    }
+    return paused;
+}
+
+std::optional<time_point> pool_manager::first_pause_end(const service_id& service) const
+{
+    std::optional<time_point> earliest;
+    if (state_.pauses.empty())
+    {
+        return earliest;
+    }
+    for (const pool_id& pool : state_.directory.pools_of(service))
+    {
+        for (const endpoint_entry* entry : state_.directory.endpoints_of(pool))
+        {
+            const std::optional<time_point> end = state_.pauses.end(entry->endpoint, state_.now);
+            if (!end && !entry->leaving)
+            {
+                return std::nullopt;
+            }
+            earliest = end && (!earliest || *end < *earliest) ? end : earliest;
+        }
+    }
+    return earliest;
+}
+
+std::vector<endpoint_notice> pool_manager::known_limits(const pool_id& pool) const
+{
+    std::vector<endpoint_notice> known;
     if (state_.start_limits.empty())
     {
         return known;
     }
     for (const endpoint_entry* entry : state_.directory.endpoints_of(pool))
     {
-        if (state_.start_limits.limit(entry->endpoint))
+        if (state_.start_limits.limit(entry->endpoint) || state_.start_limits.brittle(entry->endpoint))
         {
-            known.push_back(state_.start_limits.notice_of(entry->endpoint, state_.now));
+            known.push_back(state_.notice_of(entry->endpoint));
         }
     }
     return known;
@@ -302,12 +415,12 @@
 
 void pool_manager::start_limit_changed(const endpoint_entry& entry, const std::string& source)
 {
-    const endpoint_limit_notice notice = state_.start_limits.notice_of(entry.endpoint, state_.now);
+    const endpoint_notice notice = state_.notice_of(entry.endpoint);
     const std::optional<double> limit = state_.start_limits.limit(entry.endpoint);
     state_.log(log_event::endpoint_limit_changed,
                entry.endpoint.value() +
                    (limit ? " accepts requests_per_s=" + std::to_string(*limit) : std::string{" names no limit"}) +
-                   source);
+                   (notice.brittle ? " brittle" : "") + source);
     if (const auto found = schedulers_.find(entry.pool); found != schedulers_.end())
     {
         send_decisions(found->second->set_start_limit(entry.endpoint, limit, state_.now));
@@ -318,7 +431,7 @@
     {
         state_.send(scheduling, notice);
     }
-    state_.spread(notice);
+    state_.spread({notice});
 }
 
 void pool_manager::assign_paced_starts()
@@ -380,7 +493,7 @@
 void pool_manager::endpoint_leaving(const endpoint_id& endpoint)
 {
     const endpoint_entry* entry = state_.directory.find(endpoint);
-    if (entry == nullptr)
+    if (entry == nullptr || !entry->leaving)
     {
         return;
     }
--- a/libs/decision_core/src/pool_manager.hpp
+++ b/libs/decision_core/src/pool_manager.hpp
@@ -41,8 +41,16 @@
     /// all regions when that one has none.
     const instance_id& scheduler_instance_of(const pool_id& pool);
 
-    /// @brief What this instance knows about limits on requests per second in a pool.
-    [[nodiscard]] std::vector<endpoint_limit_notice> known_limits(const pool_id& pool) const;
+    /// @brief What this instance knows about limits that the endpoints of a pool have stated.
+    [[nodiscard]] std::vector<endpoint_notice> known_limits(const pool_id& pool) const;
+    /// @brief Endpoints of a pool that accept no request of this instance for some time.
+    [[nodiscard]] std::vector<endpoint_id> paused_endpoints(const pool_id& pool) const;
+    /// @brief Earliest time at which an endpoint of a service accepts requests of this instance again.
+    /// @return nothing unless all endpoints of the service that are not leaving pause
+    [[nodiscard]] std::optional<time_point> first_pause_end(const service_id& service) const;
+    /// @brief True for an endpoint of a plain service that gets only requests which the scheduler of its pool has
+    /// granted: it limits its requests per second, or an endpoint of its pool is brittle.
+    [[nodiscard]] bool needs_grant(const endpoint_entry& entry) const;
     /// @brief Chooses an endpoint with free capacity in this instance's local share.
     /// @param memory expected size of the KV cache of the work, in tokens
     /// @return nothing when no endpoint has enough free capacity
@@ -62,12 +70,19 @@
     /// @brief Handles a peer's health notice; its expiry is bounded by the configured lifetime.
     void handle(const instance_id& from, const endpoint_health_notice& notice);
 
-    /// @brief Handles a peer's notice of an endpoint's limit on requests per second; ignored for an unlisted endpoint.
-    void handle(const instance_id& from, const endpoint_limit_notice& notice);
-    /// @brief Records the limit that an endpoint stated in an answer to this instance, and tells peers of a change.
-    /// @param starts_per_second nothing if the answer named no limit
+    /// @brief Handles a peer's notice of what an endpoint has stated; limits of an unlisted endpoint are ignored.
+    void handle(const instance_id& from, const endpoint_notice& notice);
+    /// @brief Records what an endpoint stated about itself in the answer to a request of this instance, and tells peers
+    /// what is new. Ignored when another process has taken the endpoint's id.
+    /// @param process process start number of the endpoint that the request was sent to
     /// @param sent when the request was sent
-    void record_start_limit(const endpoint_id& endpoint, std::optional<double> starts_per_second, time_point sent);
+    void record_answer(const endpoint_id& endpoint, incarnation process, const endpoint_statement& stated,
+                       time_point sent);
+    /// @brief Records that an endpoint is leaving or pauses, if it has stated so in an answer of any kind.
+    void record_availability(const endpoint_id& endpoint, const endpoint_statement& stated);
+
+    /// @brief Handles a request that an endpoint has rejected for want of room: a brittle one gets none for a while.
+    void reject_for_room(const endpoint_id& endpoint);
 
     /// @brief Applies a change of the endpoint directory, after the directory itself has been updated.
     void endpoints_changed(const directory_change& change);
@@ -114,6 +129,7 @@
     void assume_loads(scheduler& local_scheduler, const pool_id& pool);
     /// Applies a changed limit and tells the pool's scheduler and other peers.
     void start_limit_changed(const endpoint_entry& entry, const std::string& source);
+    [[nodiscard]] bool has_brittle_endpoint(const pool_id& pool) const;
     /// Lets exactly the schedulers of pools that are assigned to this instance grant starts at limited endpoints.
     void assign_paced_starts();
     void send_decisions(const scheduling_decisions& decisions);
--- a/libs/decision_core/tests/core_fleet.hpp
+++ b/libs/decision_core/tests/core_fleet.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
-#include "single_core.hpp" // make_configuration, make_endpoint, single_core
+#include "brittle_endpoints.hpp" // brittle_endpoints
+#include "single_core.hpp"       // make_configuration, make_endpoint, single_core
 
 #include <parsleyshift/core/random_source.hpp> // random_source
 
 #include <algorithm> // find
 #include <cstdint>   // uint64_t
 #include <map>       // map
+#include <optional>  // optional
 #include <set>       // set
 #include <string>    // string
 #include <utility>   // exchange, move
@@ -94,6 +96,22 @@
         limits_[endpoint_id{endpoint}] = starts_per_second;
         std::erase_if(passed_on_, [&endpoint](const auto& each) { return each.first.second == endpoint; });
     }
+    /// @brief Lets an endpoint state in all its answers that it leaves; its entry in the list does not say so.
+    void state_leaving(const std::string& endpoint)
+    {
+        leaving_.insert(endpoint);
+    }
+    /// @brief Lets an endpoint reject each fourth request and ask the instance for a pause.
+    void pause_after(const std::string& endpoint, duration pause)
+    {
+        pauses_[endpoint] = pause;
+    }
+    /// @brief Makes the plain service brittle: its endpoints have two slots, and one fails when it has to reject more
+    /// than a number of requests in a second.
+    void make_brittle(std::size_t tolerated_rejections)
+    {
+        brittle_.emplace(tolerated_rejections);
+    }
     /// @brief Largest number of requests in 4 s that reached an endpoint from instances that knew its limit.
     /// @param from only requests since this time count
     std::size_t most_arrivals(const std::string& endpoint, time_point from) const
@@ -172,6 +190,11 @@
     std::vector<limited_arrival> limited_arrivals;
     /// Requests that were answered, by endpoint.
     std::map<std::string, int> answered;
+    /// Failures of brittle endpoints.
+    int falls = 0;
+    /// Requests of one instance that reached an endpoint between half a second after it had asked that instance for a
+    /// pause and the end of the pause.
+    int most_arrivals_in_pauses = 0;
     /// Times from the arrivals of rejected requests to their rejections.
     std::vector<duration> rejected_after;
 
@@ -261,6 +284,7 @@
         for (const std::string& each : plain_endpoints_)
         {
             rows.push_back(make_endpoint(each, plain_service));
+            rows.back().slots = brittle_endpoints::slots;
         }
         return rows;
     }
@@ -452,6 +476,10 @@
         }
         const bool deadly = deadly_requests_[begun.request.value()];
         record_arrival(index, begun.endpoint);
+        if (rejects(index, begun))
+        {
+            return;
+        }
         if (begun.kind != route_kind::stream)
         {
             runs_[begun.attempt] = {cores_[index].name, begun.endpoint, false, true};
@@ -475,6 +503,56 @@
         schedule(index, first_event_delay, forward_progress{begun.attempt, 1}, begun.attempt);
         schedule(index, answer_time, forward_completed{begun.attempt, 30}, begun.attempt);
     }
+    /// Lets an endpoint reject a request: a paused one, or a brittle one without a free slot.
+    /// @return false when it accepts the request
+    bool rejects(std::size_t index, const start_forward& begun)
+    {
+        const std::string& name = cores_[index].name;
+        const std::string endpoint = begun.endpoint.value();
+        if (const auto pause = pauses_.find(endpoint); pause != pauses_.end())
+        {
+            const auto asked = paused_at_.find({name, endpoint});
+            const bool in_pause =
+                asked != paused_at_.end() && now_ > asked->second + 500_ms && now_ < asked->second + pause->second;
+            most_arrivals_in_pauses += in_pause ? 1 : 0;
+            if (++arrivals_[endpoint] % 4 == 0)
+            {
+                paused_at_[{name, endpoint}] = now_ + message_delay;
+                endpoint_statement stated;
+                stated.pause = pause->second;
+                schedule(index, message_delay,
+                         attempt_failed{begun.attempt, attempt_failure::not_started, "paused", stated});
+                return true;
+            }
+        }
+        if (!brittle_ || begun.kind == route_kind::stream)
+        {
+            return false;
+        }
+        const brittle_endpoints::reception result = brittle_->receive(endpoint, now_);
+        falls += result == brittle_endpoints::reception::fell ? 1 : 0;
+        if (result == brittle_endpoints::reception::accepted)
+        {
+            return false;
+        }
+        const bool is_down = result == brittle_endpoints::reception::down;
+        const auto failure = is_down ? attempt_failure::connect_failed : attempt_failure::not_started;
+        schedule(index, message_delay,
+                 attempt_failed{begun.attempt, failure, "rejected",
+                                is_down ? std::nullopt : std::optional{statement_of(begun.endpoint)}});
+        return true;
+    }
+    [[nodiscard]] endpoint_statement statement_of(const endpoint_id& endpoint)
+    {
+        endpoint_statement stated;
+        stated.starts_per_second = limits_[endpoint];
+        stated.leaving = leaving_.contains(endpoint.value());
+        if (brittle_ && is_plain(endpoint))
+        {
+            stated.tolerated_rejections = static_cast<std::int64_t>(brittle_->tolerated());
+        }
+        return stated;
+    }
     void record_arrival(std::size_t index, const endpoint_id& endpoint)
     {
         if (limits_[endpoint])
@@ -487,8 +565,8 @@
     /// Adds the limit that the endpoint names now to the head of its answer.
     void answer(const run& answered_run, forward_answered head)
     {
-        head.starts_per_second = limits_[answered_run.engine];
-        if (head.starts_per_second)
+        head.statement = statement_of(answered_run.engine);
+        if (head.statement.starts_per_second)
         {
             passed_on_.try_emplace({answered_run.core, answered_run.engine.value()}, now_);
         }
@@ -557,6 +635,10 @@
             if (answering.plain)
             {
                 runs_.erase(run_of);
+                if (brittle_)
+                {
+                    brittle_->release(answering.engine.value());
+                }
             }
             answer(answering, *head);
             return;
@@ -612,6 +694,12 @@
     std::map<bool, tally> tallies_;
     std::map<std::string, time_point> silent_until_;
     std::vector<std::string> plain_endpoints_;
+    std::set<std::string> leaving_;
+    std::map<std::string, duration> pauses_;
+    std::map<std::string, int> arrivals_;
+    /// Time at which an instance was last asked for a pause by an endpoint.
+    std::map<std::pair<std::string, std::string>, time_point> paused_at_;
+    std::optional<brittle_endpoints> brittle_;
     std::map<endpoint_id, std::optional<double>> limits_;
     /// First time at which an instance passed on an answer with the limit of an endpoint.
     std::map<std::pair<std::string, std::string>, time_point> passed_on_;
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -210,7 +210,7 @@
         head_ = head;
         if (is_event_stream())
         {
-            owner_.feed_(forward_answered{start_.attempt, evaluation_.sign, false, evaluation_.starts_per_second});
+            owner_.feed_(forward_answered{start_.attempt, evaluation_.sign, false, evaluation_.statement});
         }
         return true;
     }
@@ -220,6 +220,7 @@
         {
             return body.size() <= max_buffered_response_bytes;
         }
+        statement_ = start_.relayed ? std::nullopt : std::optional{evaluation_.statement};
         if (forward_events(body))
         {
             owner_.feed_(forward_progress{start_.attempt, events_sent()});
@@ -251,7 +252,7 @@
         if (!streaming_)
         {
             body_ = std::move(body);
-            owner_.feed_(forward_answered{start_.attempt, evaluation_.sign, true, evaluation_.starts_per_second});
+            owner_.feed_(forward_answered{start_.attempt, evaluation_.sign, true, evaluation_.statement});
             return;
         }
         owner_.feed_(forward_completed{start_.attempt, events_sent(), end});
@@ -338,11 +339,11 @@
     void fail(attempt_failure failure, std::string message)
     {
         const attempt_id attempt = start_.attempt;
-        const std::optional<double> starts_per_second = evaluation_.starts_per_second;
+        const std::optional<endpoint_statement> statement = statement_;
         forwarder& owner = owner_;
         // Keeps this sink alive: the core may cancel the attempt, and with it the sink, while it handles the event.
         const auto self = owner.attempts_.extract(attempt);
-        owner.feed_(attempt_failed{attempt, failure, std::move(message), starts_per_second});
+        owner.feed_(attempt_failed{attempt, failure, std::move(message), statement});
     }
 
     forwarder& owner_;
@@ -360,6 +361,8 @@
     stable_hasher hasher;
     hasher.append({request.method_string().data(), request.method_string().size()});
     hasher.append({request.target().data(), request.target().size()});
+    /// What the endpoint has stated about itself in the head of its answer; nothing before that.
+    std::optional<endpoint_statement> statement_;
     hasher.append(request.body());
     return hasher.value();
 }
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
@@ -2,7 +2,7 @@
 
 #include <parsleyshift/core/error.hpp>           // result
 #include <parsleyshift/messages/action.hpp>      // request_rejected, entry_answer
-#include <parsleyshift/messages/endpoint.hpp>    // load_report
+#include <parsleyshift/messages/endpoint.hpp>    // endpoint_statement, load_report
 #include <parsleyshift/messages/forward.hpp>     // forward_request, start_forward
 #include <parsleyshift/messages/request.hpp>     // entry_query
 #include <parsleyshift/messages/store.hpp>       // store_page, store_changes, store_entry
@@ -27,8 +27,8 @@
     std::optional<attempt_failure> not_run_reason;
     /// success; failure: an error response that is meant for the caller; fault: a failure of the endpoint itself.
     answer_sign sign = answer_sign::success;
-    /// Requests per second, from all instances together, that the endpoint accepts; nothing if the response names none.
-    std::optional<double> starts_per_second{};
+    /// What the endpoint states about itself; empty unless the response matches the request.
+    endpoint_statement statement{};
 };
 
 /// @brief A response that the instance itself generates.
@@ -80,6 +80,10 @@
     // Makes the call that copies a run, which engines identify by the caller's request id, and decodes its response.
     {
         protocol.copy_call(copy, field)
+    // Decodes what an endpoint states about itself in the head of any response.
+    {
+        protocol.read_statement(head)
+        } -> std::same_as<endpoint_statement>;
         } -> std::same_as<endpoint_call>;
     {
         protocol.read_copy(unsigned{}, field, bool{})
--- a/libs/forwarding/include/parsleyshift/forwarding/load_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/load_reader.hpp
@@ -54,7 +54,7 @@
     {
         client_.start(report_request(probe.address),
                       [this, endpoint = probe.endpoint](const http_result& received) {
-                          feed_(endpoint_probed{endpoint, result_of(received)});
+                          feed_(endpoint_probed{endpoint, result_of(received), statement_of(received)});
                       });
     }
     /// @brief Stops all polling; no events follow.
@@ -83,6 +83,10 @@
         }
         return received.error().message == refusal ? probe_result::refused : probe_result::unknown;
     }
+    [[nodiscard]] endpoint_statement statement_of(const http_result& received) const
+    {
+        return received.has_value() ? protocol_.read_statement(received.value().head) : endpoint_statement{};
+    }
     static http_client_options client_options(std::function<void()> batch_done)
     {
         http_client_options options;
@@ -140,11 +144,12 @@
             if (report.has_value())
             {
                 report.value().endpoint = endpoint;
+                report.value().leaving = report.value().leaving || statement_of(received).leaving;
                 feed_(load_reported{std::move(report).value()});
                 return;
             }
         }
-        feed_(load_unavailable{endpoint});
+        feed_(load_unavailable{endpoint, statement_of(received)});
     }
 
     const P& protocol_;
--- a/libs/messages/include/parsleyshift/messages/action.hpp
+++ b/libs/messages/include/parsleyshift/messages/action.hpp
@@ -259,8 +259,14 @@
     links_lost,
     /// Endpoints answer this instance again.
     links_regained,
-    /// The number of requests per second that an endpoint accepts has changed.
+    /// The number of requests per second that an endpoint accepts has changed, or whether it is brittle.
     endpoint_limit_changed,
+    /// An endpoint accepts no requests of this instance for a time.
+    endpoint_paused,
+    /// An endpoint has stated something about itself that cannot be read.
+    endpoint_statement_rejected,
+    /// A permit for an endpoint was returned, because the endpoint must not get a request now.
+    permit_declined,
     request_quarantined,
     scheduler_changed,
     placement_ordered,
@@ -304,6 +310,9 @@
         enum_name<log_event>{log_event::links_lost, "links_lost"},
         enum_name<log_event>{log_event::links_regained, "links_regained"},
         enum_name<log_event>{log_event::endpoint_limit_changed, "endpoint_limit_changed"},
+        enum_name<log_event>{log_event::endpoint_paused, "endpoint_paused"},
+        enum_name<log_event>{log_event::endpoint_statement_rejected, "endpoint_statement_rejected"},
+        enum_name<log_event>{log_event::permit_declined, "permit_declined"},
         enum_name<log_event>{log_event::request_quarantined, "request_quarantined"},
         enum_name<log_event>{log_event::scheduler_changed, "scheduler_changed"},
         enum_name<log_event>{log_event::placement_ordered, "placement_ordered"},
--- a/libs/messages/include/parsleyshift/messages/endpoint.hpp
+++ b/libs/messages/include/parsleyshift/messages/endpoint.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
-#include <parsleyshift/core/clock.hpp>      // time_point
+#include <parsleyshift/core/clock.hpp>      // duration, time_point
 #include <parsleyshift/core/ids.hpp>        // endpoint_id
 #include <parsleyshift/core/name_table.hpp> // enum_names
 
-#include <array>   // array
-#include <cstdint> // int64_t
-#include <string>  // string
-#include <vector>  // vector
+#include <array>    // array
+#include <cstdint>  // int64_t
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
 
 namespace parsleyshift
 {
@@ -37,6 +38,22 @@
     fencing_number fence;
 };
 
+/// @brief What an endpoint states about itself in the head of an answer, besides the answer.
+struct endpoint_statement
+{
+    /// Requests per second, from all instances together, that the endpoint accepts; nothing if it names no limit.
+    std::optional<double> starts_per_second{};
+    /// Set while the endpoint is brittle: number of requests that it may reject in a second for want of room before it
+    /// fails.
+    std::optional<std::int64_t> tolerated_rejections{};
+    /// The endpoint is about to stop and accepts no new requests.
+    bool leaving = false;
+    /// Time for which the endpoint accepts no requests of the instance that it has rejected.
+    std::optional<duration> pause{};
+    /// Fields with values that could not be read; empty if there is none.
+    std::string unreadable{};
+};
+
 /// @brief An engine has cached or evicted a prompt prefix. Events arrive late, and some are missing.
 struct cache_event
 {
--- a/libs/messages/include/parsleyshift/messages/event.hpp
+++ b/libs/messages/include/parsleyshift/messages/event.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <parsleyshift/core/name_table.hpp>   // enum_names
-#include <parsleyshift/messages/endpoint.hpp> // load_report, attempt_failure
+#include <parsleyshift/messages/endpoint.hpp> // attempt_failure, endpoint_statement, load_report
 #include <parsleyshift/messages/forward.hpp>  // forward_request
 #include <parsleyshift/messages/peer.hpp>     // peer_envelope
 #include <parsleyshift/messages/platform.hpp> // raw_record, listed_instance
@@ -62,8 +62,8 @@
     attempt_id attempt;
     attempt_failure failure = attempt_failure::link_broken;
     std::string message;
-    /// For attempt_failure::not_started: as in forward_answered.
-    std::optional<double> starts_per_second{};
+    /// As in forward_answered; nothing unless the head of an answer to this attempt has arrived.
+    std::optional<endpoint_statement> statement{};
 };
 
 /// Result of a call to a plain service.
@@ -84,6 +84,8 @@
 struct load_unavailable
 {
     endpoint_id endpoint;
+    /// As in endpoint_probed.
+    endpoint_statement statement{};
 };
 
 /// @brief Whether the process of an endpoint accepts connections.
@@ -110,6 +112,8 @@
 {
     endpoint_id endpoint;
     probe_result result = probe_result::unknown;
+    /// As in forward_answered; its limits are not used.
+    endpoint_statement statement{};
 };
 
 /// Cache events of an engine were read.
--- a/libs/messages/include/parsleyshift/messages/forward.hpp
+++ b/libs/messages/include/parsleyshift/messages/forward.hpp
@@ -3,7 +3,7 @@
 #include <parsleyshift/core/clock.hpp>        // duration, time_point
 #include <parsleyshift/core/ids.hpp>          // request_id, service_id
 #include <parsleyshift/core/name_table.hpp>   // enum_names
-#include <parsleyshift/messages/endpoint.hpp> // attempt_failure
+#include <parsleyshift/messages/endpoint.hpp> // endpoint_statement
 
 #include <array>    // array
 #include <cstdint>  // int64_t
@@ -190,8 +190,8 @@
     answer_sign sign = answer_sign::success;
     /// True for a complete answer; false for the header of a stream, whose events follow.
     bool complete = true;
-    /// Requests per second, from all instances together, that the endpoint accepts; nothing if the answer names none.
-    std::optional<double> starts_per_second{};
+    /// What the endpoint states about itself.
+    endpoint_statement statement{};
 };
 
 /// @brief Events of a delivered stream have been passed on to the caller.
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -175,18 +175,24 @@
     friend bool operator==(const work_description&, const work_description&) = default;
 };
 
-/// An endpoint has named a limit on its requests per second, or has ended it.
-struct endpoint_limit_notice
+/// What an endpoint has stated about itself in its answers to any instance.
+struct endpoint_notice
 {
     endpoint_id endpoint;
-    /// False if the endpoint names no limit any more.
+    /// False if the endpoint names no limit on requests per second any more.
     bool limited = false;
     /// Requests per second that the endpoint accepts from all instances together.
     double starts_per_second = 0.0;
-    /// Time since the answer of the endpoint that stated this.
+    /// Time since the answer of the endpoint that stated its limit and whether it is brittle.
     duration age{};
-
-    friend bool operator==(const endpoint_limit_notice&, const endpoint_limit_notice&) = default;
+    /// The endpoint fails when it has to reject many requests for want of room.
+    bool brittle = false;
+    /// The endpoint is about to stop.
+    bool leaving = false;
+    /// Process start number of the endpoint; a notice does not apply to another process under the same id.
+    incarnation started{};
+
+    friend bool operator==(const endpoint_notice&, const endpoint_notice&) = default;
 };
 
 /// Requests a permit from a pool scheduler.
@@ -194,8 +200,11 @@
 {
     pool_id pool;
     work_description work;
-    /// What the sender knows about limits in the pool. A scheduler that has just started knows none.
-    std::vector<endpoint_limit_notice> limits{};
+    /// What the sender knows about endpoints of the pool from their answers. A scheduler that has just started knows
+    /// nothing.
+    std::vector<endpoint_notice> notices{};
+    /// Endpoints that accept no request of the sender for some time.
+    std::vector<endpoint_id> excluded{};
 
     friend bool operator==(const permit_request&, const permit_request&) = default;
 };
@@ -420,6 +429,8 @@
     std::vector<std::string> unchanged_keys;
     /// True for a notice without changes: the answer was sent behind it and may take long to arrive.
     bool follows = false;
+    /// With `follows`: the reader waits for its own read and will answer after it.
+    bool in_progress = false;
     /// Era of `at_revision`; in another one than that of the pull, `lists_all` is true and `changes` has all items.
     /// Instances of earlier releases leave it 0.
     source_era era{};
@@ -429,12 +440,9 @@
 
 using peer_message =
     std::variant<probe, probe_ack, probe_request, member_updates, configuration_digest, configuration_pull,
-    /// With `follows`: the reader waits for its own read and will answer after it.
-    bool in_progress = false;
                  configuration_records, permit_request, permit_grant, permit_denial, permit_withdrawal, permit_return,
                  permit_registration, order_forward, order_reply, budget_loan, budget_request, quarantine_notice,
-                 permit_queued, stream_takeover, endpoint_health_notice, source_pull, source_answer,
-                 endpoint_limit_notice>;
+                 permit_queued, stream_takeover, endpoint_health_notice, source_pull, source_answer, endpoint_notice>;
 
 /// @brief A peer message with its sender.
 struct peer_envelope
--- a/libs/messages/include/parsleyshift/messages/platform.hpp
+++ b/libs/messages/include/parsleyshift/messages/platform.hpp
@@ -62,6 +62,8 @@
     bool leaving = false;
     /// Start number of the process; a different number under the same id is another process. 0 if not listed.
     incarnation started{};
+    /// Requests that an endpoint processes at the same time; 0 if not listed.
+    std::int64_t slots = 0;
 
     friend bool operator==(const listed_instance&, const listed_instance&) = default;
 };
--- a/libs/routing/include/parsleyshift/routing/endpoint_directory.hpp
+++ b/libs/routing/include/parsleyshift/routing/endpoint_directory.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>       // size_t
 #include <cstdint>       // uint64_t
+#include <deque>         // deque
 #include <optional>      // optional
 #include <string>        // string
 #include <unordered_map> // unordered_map
@@ -33,9 +34,12 @@
     bool engine = true;
     /// Process start number from the list; 0 when the list does not contain it.
     incarnation started;
-    /// Set as soon as the list, a load report or a rejected attempt shows that the endpoint is leaving, and kept until
-    /// the list removes the endpoint or replaces it by a new process.
+    /// Set as soon as the list, a load report, an answer or a peer shows that the endpoint is leaving, and kept until
+    /// another process takes its id, also while the list lacks the endpoint. Without a process start number, a removal
+    /// by the list ends it.
     bool leaving = false;
+    /// Requests that the endpoint processes at the same time, from the list; 0 when the list does not contain it.
+    std::int64_t slots = 0;
     std::optional<load_report> load;
     /// Time at which `load` arrived, by this instance's clock.
     time_point load_received;
@@ -77,9 +81,14 @@
     bool handle_load(const load_report& report, time_point now);
     /// @brief Records that a load report could not be read. O(1) on average.
     void handle_load_unavailable(const endpoint_id& endpoint);
-    /// @brief Records that the endpoint rejected an attempt because it is leaving. O(1) on average.
+    /// @brief Records that the endpoint has stated that it is leaving. O(1) on average.
     /// @return true when the endpoint was not marked as leaving before
     bool handle_leaving(const endpoint_id& endpoint);
+    /// @brief Records that a process has stated that it is leaving, which may not be listed (any more, or yet). O(1) on
+    /// average.
+    /// @param started process start number; an unlisted process is ignored when it is 0
+    /// @return true when this was not known before
+    bool handle_leaving(const endpoint_id& endpoint, incarnation started);
 
     /// @brief The entry of an endpoint, or nullptr when it is unknown. O(1) on average.
     [[nodiscard]] const endpoint_entry* find(const endpoint_id& endpoint) const;
@@ -105,12 +114,22 @@
     };
 
     bool mark_leaving(endpoint_entry& entry);
+    void record_departure(const endpoint_id& endpoint, incarnation started);
+    [[nodiscard]] bool has_departed(const endpoint_id& endpoint, incarnation started) const;
     void apply_instance(const listed_instance& instance, directory_change& change);
     void remove_missing(directory_change& change);
     void add(const listed_instance& instance, directory_change& change);
     void remove_from_pool(const endpoint_entry& entry);
 
+    /// Largest number of departed processes that are remembered.
+    static constexpr std::size_t max_departures = 4'096;
+
     std::unordered_map<endpoint_id, listed_entry> entries_;
+    /// Start numbers of the latest processes of endpoints that are leaving or have left. A list that is older than this
+    /// knowledge may contain them again.
+    std::unordered_map<endpoint_id, incarnation> departures_;
+    /// The same endpoints in the order in which they were added.
+    std::deque<endpoint_id> departure_order_;
     std::unordered_map<pool_id, std::vector<const endpoint_entry*>> pools_;
     std::unordered_map<service_id, std::vector<pool_id>> pools_by_service_;
     /// Instances of the last list. Most lists are equal to their predecessor, and comparing the instances is several
--- a/libs/routing/src/endpoint_directory.cpp
+++ b/libs/routing/src/endpoint_directory.cpp
@@ -1,6 +1,6 @@
 #include <parsleyshift/routing/endpoint_directory.hpp> // endpoint_directory
 
-#include <algorithm> // lower_bound
+#include <algorithm> // lower_bound, max, sort
 
 namespace parsleyshift
 {
@@ -31,9 +31,35 @@
 {
     const bool newly_leaving = !entry.leaving;
     entry.leaving = true;
+    record_departure(entry.endpoint, entry.started);
     return newly_leaving;
 }
 
+void endpoint_directory::record_departure(const endpoint_id& endpoint, incarnation started)
+{
+    if (started == incarnation{})
+    {
+        return;
+    }
+    const auto [found, is_new] = departures_.try_emplace(endpoint, started);
+    found->second = std::max(found->second, started);
+    if (is_new)
+    {
+        departure_order_.push_back(endpoint);
+    }
+    if (departure_order_.size() > max_departures)
+    {
+        departures_.erase(departure_order_.front());
+        departure_order_.pop_front();
+    }
+}
+
+bool endpoint_directory::has_departed(const endpoint_id& endpoint, incarnation started) const
+{
+    const auto found = departures_.find(endpoint);
+    return started != incarnation{} && found != departures_.end() && started <= found->second;
+}
+
 void endpoint_directory::add(const listed_instance& instance, directory_change& change)
 {
     const endpoint_id endpoint{instance.id};
@@ -47,8 +73,13 @@
     entry.availability_zone = instance.availability_zone;
     entry.region = instance.region;
     entry.engine = instance.role == instance_role::engine;
-    entry.leaving = instance.leaving;
     entry.started = instance.started;
+    entry.slots = instance.slots;
+    entry.leaving = false;
+    if (instance.leaving || has_departed(endpoint, instance.started))
+    {
+        mark_leaving(entry);
+    }
     std::vector<const endpoint_entry*>& members = pools_[entry.pool];
     if (members.empty())
     {
@@ -93,6 +124,7 @@
     endpoint_entry& entry = found->second.entry;
     if (entry.address == instance.address && entry.started == instance.started && entry.region == instance.region)
     {
+        entry.slots = instance.slots;
         if (instance.leaving && mark_leaving(entry))
         {
             change.leaving.push_back(entry.endpoint);
@@ -184,6 +216,21 @@
     return found != entries_.end() && mark_leaving(found->second.entry);
 }
 
+bool endpoint_directory::handle_leaving(const endpoint_id& endpoint, incarnation started)
+{
+    const auto found = entries_.find(endpoint);
+    if (found != entries_.end() && found->second.entry.started == started)
+    {
+        return mark_leaving(found->second.entry);
+    }
+    if (started == incarnation{} || has_departed(endpoint, started))
+    {
+        return false;
+    }
+    record_departure(endpoint, started);
+    return true;
+}
+
 const endpoint_entry* endpoint_directory::find(const endpoint_id& endpoint) const
 {
     const auto found = entries_.find(endpoint);
--- a/libs/routing/src/endpoint_start_limits.cpp
+++ b/libs/routing/src/endpoint_start_limits.cpp
@@ -5,49 +5,46 @@
 namespace parsleyshift
 {
 
-bool endpoint_start_limits::record_answer(const endpoint_id& endpoint, std::optional<double> starts_per_second,
+bool endpoint_start_limits::record_answer(const endpoint_id& endpoint, const endpoint_statement& stated,
                                           time_point sent, time_point now)
 {
-    const auto found = statements_.find(endpoint);
-    if (found == statements_.end())
-    {
-        if (starts_per_second)
-        {
-            statements_.emplace(endpoint, statement{starts_per_second, now});
-        }
-        return starts_per_second.has_value();
-    }
-    statement& known = found->second;
-    if (!starts_per_second && sent < known.as_of)
+    const known_limit answered{stated.starts_per_second, stated.tolerated_rejections.has_value(), now};
+    const auto found = limits_.find(endpoint);
+    const bool is_known = found != limits_.end();
+    if (!answered.limits_starts() && (!is_known || sent < found->second.as_of))
     {
         return false;
     }
-    const bool changed = known.starts_per_second != starts_per_second;
-    known = statement{starts_per_second, now};
-    return changed;
+    return replace(endpoint, answered);
 }
 
-bool endpoint_start_limits::merge(const endpoint_limit_notice& notice, time_point now)
+bool endpoint_start_limits::merge(const endpoint_notice& notice, time_point now)
 {
-    const time_point as_of = now - std::max(notice.age, duration{});
-    const auto starts_per_second = notice.limited ? std::optional{notice.starts_per_second} : std::nullopt;
-    const auto found = statements_.find(notice.endpoint);
-    const bool is_known = found != statements_.end();
-    if (is_known ? as_of <= found->second.as_of : !notice.limited)
+    const known_limit stated{notice.limited ? std::optional{notice.starts_per_second} : std::nullopt, notice.brittle,
+                             now - std::max(notice.age, duration{})};
+    const auto found = limits_.find(notice.endpoint);
+    const bool is_known = found != limits_.end();
+    if (is_known ? stated.as_of <= found->second.as_of : !stated.limits_starts())
     {
         return false;
     }
-    const bool changed = !is_known || found->second.starts_per_second != starts_per_second;
-    statements_.insert_or_assign(notice.endpoint, statement{starts_per_second, as_of});
+    return replace(notice.endpoint, stated);
+}
+
+bool endpoint_start_limits::replace(const endpoint_id& endpoint, const known_limit& stated)
+{
+    const auto [found, is_new] = limits_.try_emplace(endpoint, stated);
+    const bool changed = is_new || !found->second.states_the_same(stated);
+    found->second = stated;
     return changed;
 }
 
-std::vector<endpoint_limit_notice> endpoint_start_limits::notices(time_point now) const
+std::vector<endpoint_notice> endpoint_start_limits::notices(time_point now) const
 {
-    std::vector<endpoint_limit_notice> known;
-    for (const auto& [endpoint, stated] : statements_)
+    std::vector<endpoint_notice> known;
+    for (const auto& [endpoint, stated] : limits_)
     {
-        if (stated.starts_per_second || now - stated.as_of < ended_notice_lifetime)
+        if (stated.limits_starts() || now - stated.as_of < ended_notice_lifetime)
         {
             known.push_back(notice_of(endpoint, now));
         }
@@ -55,22 +52,35 @@
     return known;
 }
 
-endpoint_limit_notice endpoint_start_limits::notice_of(const endpoint_id& endpoint, time_point now) const
+endpoint_notice endpoint_start_limits::notice_of(const endpoint_id& endpoint, time_point now) const
 {
-    const auto found = statements_.find(endpoint);
-    const statement stated = found == statements_.end() ? statement{std::nullopt, now} : found->second;
-    return {endpoint, stated.starts_per_second.has_value(), stated.starts_per_second.value_or(0.0), now - stated.as_of};
+    endpoint_notice notice;
+    notice.endpoint = endpoint;
+    if (const auto found = limits_.find(endpoint); found != limits_.end())
+    {
+        notice.limited = found->second.starts_per_second.has_value();
+        notice.starts_per_second = found->second.starts_per_second.value_or(0.0);
+        notice.brittle = found->second.brittle;
+        notice.age = now - found->second.as_of;
+    }
+    return notice;
 }
 
 void endpoint_start_limits::remove(const endpoint_id& endpoint)
 {
-    statements_.erase(endpoint);
+    limits_.erase(endpoint);
 }
 
 std::optional<double> endpoint_start_limits::limit(const endpoint_id& endpoint) const
 {
-    const auto found = statements_.find(endpoint);
-    return found == statements_.end() ? std::nullopt : found->second.starts_per_second;
+    const auto found = limits_.find(endpoint);
+    return found == limits_.end() ? std::nullopt : found->second.starts_per_second;
+}
+
+bool endpoint_start_limits::brittle(const endpoint_id& endpoint) const
+{
+    const auto found = limits_.find(endpoint);
+    return found != limits_.end() && found->second.brittle;
 }
 
 } // namespace parsleyshift
--- a/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/detail/pool_scheduler_impl.hpp
@@ -2,7 +2,7 @@
 
 #include <parsleyshift/scheduling/pool_scheduler.hpp> // basic_pool_scheduler
 
-#include <algorithm> // max, min, sort, stable_sort
+#include <algorithm> // find, max, min, sort, stable_sort
 #include <cmath>     // pow
 #include <limits>    // numeric_limits
 #include <utility>   // move
@@ -127,7 +127,8 @@
         return out;
     }
     const std::size_t class_index = find_or_add_class(request.work.work_class);
-    const queued_request queued = make_queued_request(from, request.work, classes_[class_index].record, now);
+    queued_request queued = make_queued_request(from, request.work, classes_[class_index].record, now);
+    queued.excluded = request.excluded;
     if (queued.start_by <= now)
     {
         deny(queued, error_kind::deadline_unreachable, settings_.min_retry_after, out);
@@ -451,6 +452,11 @@
     double best_score = -std::numeric_limits<double>::max();
     const auto examine = [&](endpoint_table::index endpoint_index)
     {
+        const auto& excluded = queued.excluded;
+        if (std::find(excluded.begin(), excluded.end(), endpoints_.id_of(endpoint_index)) != excluded.end())
+        {
+            return;
+        }
         const double value = score(queued, demand.work_lane, endpoint_index, now);
         if (value > best_score && endpoints_.fits(endpoint_index, demand, now))
         {
--- a/libs/scheduling/include/parsleyshift/scheduling/local_share_chooser.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/local_share_chooser.hpp
@@ -46,7 +46,9 @@
     /// @brief The endpoint with the fewest requests of this instance, relative to its health, among those with free
     /// capacity in the instance's share; nothing when there is none.
     /// @param expected_memory prompt and expected output of the request, in tokens
-    [[nodiscard]] std::optional<endpoint_id> choose(std::int64_t expected_memory);
+    /// @param excluded endpoints that are not chosen
+    [[nodiscard]] std::optional<endpoint_id> choose(std::int64_t expected_memory,
+                                                    const std::vector<endpoint_id>& excluded = {});
     /// @brief Counts a request sent to an endpoint, whether or not choose() returned it.
     void started(const endpoint_id& endpoint, std::int64_t expected_memory);
     /// @brief Counts the end of a request.
--- a/libs/scheduling/include/parsleyshift/scheduling/queue_order.hpp
+++ b/libs/scheduling/include/parsleyshift/scheduling/queue_order.hpp
@@ -2,7 +2,7 @@
 
 #include <parsleyshift/core/clock.hpp>    // time_point
 #include <parsleyshift/core/hash.hpp>     // mix_hash
-#include <parsleyshift/core/ids.hpp>      // instance_id, request_id
+#include <parsleyshift/core/ids.hpp>      // endpoint_id, instance_id, request_id
 #include <parsleyshift/messages/peer.hpp> // work_description
 
 #include <concepts>   // convertible_to, default_initializable
@@ -10,6 +10,7 @@
 #include <cstdint>    // uint64_t
 #include <functional> // hash
 #include <optional>   // optional
+#include <vector>     // vector
 
 namespace parsleyshift
 {
@@ -38,6 +39,8 @@
     /// Instance that sent the request.
     instance_id from;
     work_description work;
+    /// Endpoints that accept no request of that instance for some time.
+    std::vector<endpoint_id> excluded{};
     time_point arrived;
     /// Latest start time: the earlier of the request's own and the arrival plus the class's default timeout.
     time_point start_by;
--- a/libs/scheduling/src/local_share_chooser.cpp
+++ b/libs/scheduling/src/local_share_chooser.cpp
@@ -2,7 +2,7 @@
 
 #include <parsleyshift/core/hash.hpp> // rendezvous_score
 
-#include <algorithm> // max
+#include <algorithm> // find, max
 #include <limits>    // numeric_limits
 #include <utility>   // move
 
@@ -66,13 +66,15 @@
     found->second.leaving = found->second.leaving || report.leaving;
 }
 
-std::optional<endpoint_id> local_share_chooser::choose(std::int64_t expected_memory)
+std::optional<endpoint_id> local_share_chooser::choose(std::int64_t expected_memory,
+                                                       const std::vector<endpoint_id>& excluded)
 {
     std::optional<endpoint_id> best;
     double lowest_load = std::numeric_limits<double>::max();
     for (const auto& [endpoint, state] : endpoints_)
     {
-        if (!has_room(endpoint, state, expected_memory))
+        const bool is_excluded = std::find(excluded.begin(), excluded.end(), endpoint) != excluded.end();
+        if (is_excluded || !has_room(endpoint, state, expected_memory))
         {
             continue;
         }
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -101,19 +101,23 @@
     11: bool plain
 }
 
-struct endpoint_limit_notice
+struct endpoint_notice
 {
     1: string endpoint
     2: bool limited
     3: double starts_per_second
     4: i64 age
+    5: bool brittle
+    6: bool leaving
+    7: i64 started
 }
 
 struct permit_request
 {
     1: string pool
     2: work_description work
-    3: list<endpoint_limit_notice> limits
+    3: list<endpoint_notice> notices
+    4: list<string> excluded
 }
 
 struct permit_grant
@@ -253,11 +257,11 @@
     8: list<string> unchanged_keys
     9: bool follows
     10: i64 era
+    11: bool in_progress
 }
 
 union message
 {
-    11: bool in_progress
     1: probe probe_value
     2: probe_ack probe_ack_value
     3: probe_request probe_request_value
@@ -281,7 +285,7 @@
     21: endpoint_health_notice endpoint_health_notice_value
     22: source_pull source_pull_value
     23: source_answer source_answer_value
-    24: endpoint_limit_notice endpoint_limit_notice_value
+    24: endpoint_notice endpoint_notice_value
 }
 
 struct envelope
--- a/libs/wire/src/peer_fields.hpp
+++ b/libs/wire/src/peer_fields.hpp
@@ -294,19 +294,23 @@
     copy(wire.start_by, value.start_by);
 }
 
-void fields(auto copy, auto& wire, like<endpoint_limit_notice> auto& value)
+void fields(auto copy, auto& wire, like<endpoint_notice> auto& value)
 {
     copy(wire.endpoint, value.endpoint);
     copy(wire.limited, value.limited);
     copy(wire.starts_per_second, value.starts_per_second);
     copy(wire.age, value.age);
+    copy(wire.brittle, value.brittle);
+    copy(wire.leaving, value.leaving);
+    copy(wire.started, value.started);
 }
 
 void fields(auto copy, auto& wire, like<permit_request> auto& value)
 {
     copy(wire.pool, value.pool);
     copy(wire.work, value.work);
-    copy(wire.limits, value.limits);
+    copy(wire.notices, value.notices);
+    copy(wire.excluded, value.excluded);
 }
 
 void fields(auto copy, auto& wire, like<permit_grant> auto& value)
@@ -465,11 +469,11 @@
     copy(wire.unchanged_keys, value.unchanged_keys);
     copy(wire.follows, value.follows);
     copy(wire.era, value.era);
+    copy(wire.in_progress, value.in_progress);
 }
 
 /// @brief Calls `visit(member, message_type, is_set)` for each member of the union; the result says whether it is set.
 void for_each_member(wire_format::message& m, auto visit)
-    copy(wire.in_progress, value.in_progress);
 {
     auto& set = m.__isset;
     set.probe_value = visit(m.probe_value, message_type<probe>{}, set.probe_value);
@@ -503,8 +507,8 @@
         visit(m.endpoint_health_notice_value, message_type<endpoint_health_notice>{}, set.endpoint_health_notice_value);
     set.source_pull_value = visit(m.source_pull_value, message_type<source_pull>{}, set.source_pull_value);
     set.source_answer_value = visit(m.source_answer_value, message_type<source_answer>{}, set.source_answer_value);
-    set.endpoint_limit_notice_value =
-        visit(m.endpoint_limit_notice_value, message_type<endpoint_limit_notice>{}, set.endpoint_limit_notice_value);
+    set.endpoint_notice_value =
+        visit(m.endpoint_notice_value, message_type<endpoint_notice>{}, set.endpoint_notice_value);
 }
 
 } // namespace parsleyshift::detail
--- a/libs/wire/tests/peer_codec_test.cpp
+++ b/libs/wire/tests/peer_codec_test.cpp
@@ -199,14 +199,15 @@
     {
         m = {name<pool_id>(), name<endpoint_id>(), static_cast<double>(any<std::int32_t>()), time()};
     }
-    [[nodiscard]] endpoint_limit_notice limit() const
+    [[nodiscard]] endpoint_notice limit() const
     {
-        return {name<endpoint_id>(), any<bool>(), static_cast<double>(any<std::int32_t>()),
-                duration{any<std::int32_t>()}};
+        return {name<endpoint_id>(),           any<bool>(), static_cast<double>(any<std::int32_t>()),
+                duration{any<std::int32_t>()}, any<bool>(), any<bool>(),
+                number<incarnation>()};
     }
-    void fill(endpoint_limit_notice& m) const
+    void fill(endpoint_notice& m) const
     {
-        m = {name<endpoint_id>(), any<bool>(), static_cast<double>(any<std::int32_t>()), duration{any<std::int32_t>()}};
+        m = limit();
     }
     void fill(source_pull& m) const
     {
