Tell late copies of earlier answers and rejections from the answer to the request

Cause: an answer that names another request ended the attempt on a kept connection, although the request's own answer follows it; so a second copy of an earlier answer cost the next caller its own. Ruled out: a new connection for each request (price of connections); skipping on a new connection, where no earlier request exists. Change: on a used connection an answer with another id is dropped and the next one is awaited, four times at most. A rejection without an id is no proof on a used connection. A request that goes to the same address again opens a new connection. The third path has no test here: the scripted server serves one connection at a time.

--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -10,12 +10,14 @@
 #include <parsleyshift/runtime/http_server.hpp>            // http_server
 #include <parsleyshift/runtime/metrics.hpp>                // metrics
 
+#include <algorithm>     // find
 #include <functional>    // function
 #include <memory>        // shared_ptr
-#include <optional>      // nullopt
+#include <optional>      // nullopt, optional
 #include <string>        // string
 #include <unordered_map> // unordered_map
 #include <utility>       // move
+#include <vector>        // vector
 
 namespace parsleyshift
 {
@@ -126,6 +128,8 @@
         /// Events sent to the caller, from all engines of the run.
         std::int64_t events_sent = 0;
         std::string last_event_id;
+        /// Addresses of the endpoints that the request was sent to.
+        std::vector<std::string> addresses{};
     };
     struct running_attempt
     {
@@ -194,25 +198,34 @@
   public:
     attempt_sink(forwarder& owner, const start_forward& start) : owner_(owner), start_(start) {}
 
-    bool on_head(const response_head& head) override
+    head_verdict on_head(const response_head& head, bool reused_connection) override
     {
         const auto found = owner_.requests_.find(start_.request);
         if (found == owner_.requests_.end())
         {
-            return false;
+            return head_verdict::reject;
         }
         evaluation_ = start_.relayed ? owner_.protocol_.read_relayed_response(head, found->second.request)
                                      : owner_.protocol_.read_response(head, found->second.request);
-        if (!evaluation_.matches_request)
+        if (evaluation_.names_other_request && reused_connection)
         {
-            return false;
+            return head_verdict::skip;
+        }
+        // A rejection that does not name its request may be a copy of one for an earlier request on the connection.
+        const bool is_ambiguous =
+            evaluation_.not_run_reason && !evaluation_.names_request && reused_connection && !start_.relayed;
+        if (!evaluation_.matches_request || is_ambiguous)
+        {
+            evaluation_ = {};
+            return head_verdict::reject;
         }
         head_ = head;
+        statement_ = start_.relayed ? std::nullopt : std::optional{evaluation_.statement};
         if (is_event_stream())
         {
             owner_.feed_(forward_answered{start_.attempt, evaluation_.sign, false, evaluation_.statement});
         }
-        return true;
+        return head_verdict::accept;
     }
     bool on_body(std::string& body) override
     {
@@ -220,7 +233,6 @@
         {
             return body.size() <= max_buffered_response_bytes;
         }
-        statement_ = start_.relayed ? std::nullopt : std::optional{evaluation_.statement};
         if (forward_events(body))
         {
             owner_.feed_(forward_progress{start_.attempt, events_sent()});
@@ -349,6 +361,8 @@
     forwarder& owner_;
     start_forward start_;
     response_evaluation evaluation_;
+    /// What the endpoint has stated about itself in the head of its answer; nothing before that.
+    std::optional<endpoint_statement> statement_;
     response_head head_;
     std::string body_;
     event_splitter splitter_;
@@ -361,8 +375,6 @@
     stable_hasher hasher;
     hasher.append({request.method_string().data(), request.method_string().size()});
     hasher.append({request.target().data(), request.target().size()});
-    /// What the endpoint has stated about itself in the head of its answer; nothing before that.
-    std::optional<endpoint_statement> statement_;
     hasher.append(request.body());
     return hasher.value();
 }
@@ -384,7 +396,7 @@
     decoded_request.request = server_.register_request(session);
     decoded_request.content_hash = content_hash(request);
     requests_.insert_or_assign(decoded_request.request,
-                               active_request{std::move(request), decoded_request.caller_id, 0, {}});
+                               active_request{std::move(request), decoded_request.caller_id, 0, {}, {}});
     feed_(std::move(decoded_request));
 }
 
@@ -442,6 +454,11 @@
     call.text.append("\r\n").append(found->second.request.body());
     call.send_deadline = start.send_deadline;
     call.body_limit = std::nullopt;
+    // On the connection of an earlier attempt, a copy of the answer to that one could not be told from the answer to
+    // this one.
+    std::vector<std::string>& addresses = found->second.addresses;
+    call.fresh_connection = std::find(addresses.begin(), addresses.end(), start.address) != addresses.end();
+    addresses.push_back(start.address);
     auto sink = std::make_shared<attempt_sink>(*this, start);
     auto exchange = client_.start(std::move(call), sink);
     attempts_.emplace(start.attempt, running_attempt{std::move(exchange), std::move(sink)});
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
@@ -23,6 +23,9 @@
     /// False when the response belongs to another request or does not come from an endpoint; it must not reach the
     /// caller.
     bool matches_request = true;
+    /// The response states the id of the request, or that of another one.
+    bool names_request = false;
+    bool names_other_request = false;
     /// Set when the endpoint proves that it did not run the request.
     std::optional<attempt_failure> not_run_reason;
     /// success; failure: an error response that is meant for the caller; fault: a failure of the endpoint itself.
@@ -77,13 +80,13 @@
     {
         protocol.read_response(head, request)
         } -> std::same_as<response_evaluation>;
-    // Makes the call that copies a run, which engines identify by the caller's request id, and decodes its response.
-    {
-        protocol.copy_call(copy, field)
     // Decodes what an endpoint states about itself in the head of any response.
     {
         protocol.read_statement(head)
         } -> std::same_as<endpoint_statement>;
+    // Makes the call that copies a run, which engines identify by the caller's request id, and decodes its response.
+    {
+        protocol.copy_call(copy, field)
         } -> std::same_as<endpoint_call>;
     {
         protocol.read_copy(unsigned{}, field, bool{})
--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -173,6 +173,12 @@
     return stream;
 }
 
+std::string request_with_id(int id)
+{
+    return "POST /x HTTP/1.1\r\nHost: h\r\nx-id: " + std::to_string(id) +
+           "\r\nx-secret: s\r\nContent-Length: 2\r\n\r\nab";
+}
+
 std::string status_of(const std::string& response)
 {
     return response.substr(9, 3);
@@ -278,6 +284,66 @@
     STRCMP_EQUAL("503", status_of(other.read_answer()).c_str());
 }
 
+// Guards against a second copy of an answer, late on a connection that is in use again, which goes to the next caller
+// or costs it its own answer.
+TEST(forwarder, drops_a_late_copy_of_an_earlier_answer)
+{
+    scripted_server endpoint(
+        [](scripted_server::connection& from)
+        {
+            const std::string first = "HTTP/1.1 200 OK\r\nx-id: 5\r\nContent-Length: 2\r\n\r\nab";
+            from.request();
+            from.send(first);
+            if (from.request())
+            {
+                from.send(first + "HTTP/1.1 200 OK\r\nx-id: 6\r\nContent-Length: 2\r\n\r\ncd");
+            }
+        });
+    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::once));
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    CHECK(caller.read_answer().ends_with("\r\n\r\nab"));
+    caller.send(request_with_id(6));
+    CHECK(caller.read_answer().ends_with("\r\n\r\ncd"));
+}
+
+// Guards against a copy of an earlier rejection that passes for the answer to a request which the endpoint runs.
+TEST(forwarder, takes_no_rejection_without_an_id_on_a_used_connection_as_proof)
+{
+    const std::string rejection = "HTTP/1.1 429 Full\r\nContent-Length: 0\r\n\r\n";
+    scripted_server endpoint(
+        [&rejection](scripted_server::connection& from)
+        {
+            while (from.request())
+            {
+                from.send(rejection);
+            }
+        });
+    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::once));
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    STRCMP_EQUAL("503", status_of(caller.read_answer()).c_str());
+    caller.send(request_with_id(6));
+    STRCMP_EQUAL("502", status_of(caller.read_answer()).c_str());
+}
+
+// Guards against a statement of an endpoint that is read only from answers which reach the caller.
+TEST(forwarder, passes_on_what_an_endpoint_states_in_a_rejection)
+{
+    scripted_server endpoint(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.send("HTTP/1.1 429 Full\r\nx-id: 5\r\nx-leaving: 1\r\nContent-Length: 0\r\n\r\n");
+        });
+    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::once));
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    STRCMP_EQUAL("503", status_of(caller.read_answer()).c_str());
+    const auto failed = forwarder.expect<attempt_failed>();
+    CHECK(failed.statement && failed.statement->leaving);
+}
+
 // Guards against a broken stream that looks complete to the caller, and against a partial event that reaches it.
 TEST(forwarder, cuts_off_a_stream_that_the_endpoint_breaks_off)
 {
--- a/libs/forwarding/tests/small_protocol.hpp
+++ b/libs/forwarding/tests/small_protocol.hpp
@@ -54,13 +54,23 @@
                                                     const parsleyshift::http_request& request) const
     {
         response_evaluation evaluation;
-        evaluation.matches_request = head["x-id"] == request["x-id"];
+        const bool has_id = !head["x-id"].empty();
+        evaluation.names_request = has_id && head["x-id"] == request["x-id"];
+        evaluation.names_other_request = has_id && !evaluation.names_request;
         if (head.result_int() == 429)
         {
             evaluation.not_run_reason = attempt_failure::not_started;
         }
+        evaluation.matches_request = evaluation.names_request || (!has_id && evaluation.not_run_reason);
+        evaluation.statement = read_statement(head);
         return evaluation;
     }
+    [[nodiscard]] endpoint_statement read_statement(const response_head& head) const
+    {
+        endpoint_statement statement;
+        statement.leaving = !head["x-leaving"].empty();
+        return statement;
+    }
     [[nodiscard]] endpoint_call copy_call(const copy_run& copy, std::string_view caller_id) const
     {
         return {"POST", "/copy", std::string{caller_id} + (copy.stop ? " stop" : "")};
--- a/libs/runtime/include/parsleyshift/runtime/http_client.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_client.hpp
@@ -58,6 +58,16 @@
 std::string request_text(std::string_view method, std::string_view target, std::string_view address,
                          std::string_view body);
 
+/// @brief What a sink does with a response whose header it has received.
+enum class head_verdict
+{
+    accept,
+    /// The response belongs to an earlier request on the connection: it is dropped, and the next one is awaited.
+    skip,
+    /// The connection is closed; on_failed() follows with endpoint_error.
+    reject,
+};
+
 /// @brief Receives the response of one exchange. No call follows on_done() or on_failed().
 class exchange_sink
 {
@@ -69,9 +79,9 @@
     exchange_sink(exchange_sink&&) = delete;
     exchange_sink& operator=(exchange_sink&&) = delete;
 
-    /// @brief The header of the response has been received.
-    /// @return false to close the connection; on_failed() follows with endpoint_error
-    virtual bool on_head(const response_head& head) = 0;
+    /// @brief The header of a response has been received; called once more after each response that was skipped.
+    /// @param reused_connection the connection has carried earlier requests, to one of which the response may belong
+    virtual head_verdict on_head(const response_head& head, bool reused_connection) = 0;
     /// @brief Further bytes of the body have been received.
     /// @param body bytes received and not yet consumed; the sink may erase them from the front
     /// @return false to close the connection; no call follows
--- a/libs/runtime/src/generation_sink.cpp
+++ b/libs/runtime/src/generation_sink.cpp
@@ -36,14 +36,14 @@
     batch_.attempt = attempt;
 }
 
-bool generation_sink::on_head(const response_head& head)
+head_verdict generation_sink::on_head(const response_head& head, bool /*reused_connection*/)
 {
     status_ = head.result_int();
     if (status_ == 200)
     {
         client_.emit(attempt_started{attempt_});
     }
-    return true;
+    return head_verdict::accept;
 }
 
 bool generation_sink::on_body(std::string& body)
--- a/libs/runtime/src/generation_sink.hpp
+++ b/libs/runtime/src/generation_sink.hpp
@@ -21,7 +21,7 @@
     /// @param resumed whether the exchange resumes an attempt; status 404 then means attempt_unknown
     generation_sink(endpoint_client& client, attempt_id attempt, bool resumed);
 
-    bool on_head(const response_head& head) override;
+    head_verdict on_head(const response_head& head, bool reused_connection) override;
     bool on_body(std::string& body) override;
     void on_done(std::string& body, answer_end end) override;
     void on_failed(attempt_failure failure, std::string message) override;
--- a/libs/runtime/src/http_client.cpp
+++ b/libs/runtime/src/http_client.cpp
@@ -19,11 +19,11 @@
   public:
     explicit collecting_sink(std::function<void(http_result)> done) : done_(std::move(done)) {}
 
-    bool on_head(const response_head& head) override
+    head_verdict on_head(const response_head& head, bool /*reused_connection*/) override
     {
         response_.status = head.result_int();
         response_.head = head;
-        return true;
+        return head_verdict::accept;
     }
     bool on_body(std::string& body) override
     {
--- a/libs/runtime/src/http_exchange.cpp
+++ b/libs/runtime/src/http_exchange.cpp
@@ -28,6 +28,8 @@
 /// the server has closed the connection; the margin covers a round trip between regions.
 constexpr duration idle_margin{300};
 constexpr std::string_view timeout_parameter = "timeout=";
+/// Responses to other requests that are dropped before an exchange fails.
+constexpr int max_skipped_responses = 4;
 
 /// Returns the timeout parameter of a Keep-Alive field, limited to one day, or nothing when it is missing or invalid.
 std::optional<duration> announced_idle_time(std::string_view keep_alive)
@@ -156,15 +158,7 @@
     }
     if (!parser_)
     {
-        parser_ = std::make_unique<parser>();
-        if (call_.body_limit)
-        {
-            parser_->body_limit(*call_.body_limit);
-        }
-        else
-        {
-            parser_->body_limit(boost::none);
-        }
+        make_parser();
     }
     while (written_ < call_.text.size())
     {
@@ -211,6 +205,19 @@
     read();
 }
 
+void http_exchange::make_parser()
+{
+    parser_ = std::make_unique<parser>();
+    if (call_.body_limit)
+    {
+        parser_->body_limit(*call_.body_limit);
+    }
+    else
+    {
+        parser_->body_limit(boost::none);
+    }
+}
+
 void http_exchange::set_socket_options(tcp_socket& socket) const
 {
     boost::system::error_code ignored;
@@ -297,7 +304,7 @@
 {
     while (connection_->input_size > 0 && !parser_->is_done())
     {
-        if (!feed_parser())
+        if (!feed_parser() || (skipping_ && parser_->is_done() && !drop_skipped_response()))
         {
             break;
         }
@@ -339,12 +346,16 @@
     {
         head_reported_ = true;
         apply_announced_idle_time();
-        if (!sink->on_head(parser_->get().base()))
+        if (!report_head(*sink))
         {
-            fail(attempt_failure::endpoint_error, "the response header was rejected");
             return false;
         }
     }
+    if (skipping_)
+    {
+        parser_->get().body().clear();
+        return consumed > 0 && !failure;
+    }
     if (!ended_ && head_reported_ && !parser_->get().body().empty() && !sink->on_body(parser_->get().body()))
     {
         cancel();
@@ -352,8 +363,43 @@
     return !ended_ && consumed > 0 && !failure;
 }
 
+bool http_exchange::report_head(exchange_sink& sink)
+{
+    const head_verdict verdict = sink.on_head(parser_->get().base(), connection_->reused);
+    if (ended_)
+    {
+        return false;
+    }
+    if (verdict == head_verdict::reject ||
+        (verdict == head_verdict::skip && ++skipped_responses_ > max_skipped_responses))
+    {
+        fail(attempt_failure::endpoint_error, "the response header was rejected");
+        return false;
+    }
+    skipping_ = verdict == head_verdict::skip;
+    return true;
+}
+
+bool http_exchange::drop_skipped_response()
+{
+    if (!parser_->keep_alive())
+    {
+        fail(attempt_failure::link_broken, "the connection ended with a response to another request");
+        return false;
+    }
+    skipping_ = false;
+    head_reported_ = false;
+    make_parser();
+    return true;
+}
+
 void http_exchange::on_end_of_input()
 {
+    if (skipping_)
+    {
+        fail(attempt_failure::link_broken, "the connection ended with a response to another request");
+        return;
+    }
     boost::system::error_code failure;
     // Beast treats the end of an empty input as a complete message.
     const bool has_head = parser_->is_header_done();
--- a/libs/runtime/src/http_exchange.hpp
+++ b/libs/runtime/src/http_exchange.hpp
@@ -62,7 +62,14 @@
     void write();
     void set_socket_options(tcp_socket& socket) const;
     void apply_announced_idle_time();
+    void make_parser();
     void on_input();
+    /// @brief Passes the header on to the sink and applies its verdict.
+    /// @return false when the exchange has ended
+    bool report_head(exchange_sink& sink);
+    /// @brief Drops a complete response that belongs to another request and prepares for the next one.
+    /// @return false when the exchange has ended
+    bool drop_skipped_response();
     bool feed_parser();
     void on_end_of_input();
     void complete(answer_end end);
@@ -86,6 +93,9 @@
     bool connecting_ = false;
     bool reading_enabled_ = true;
     bool head_reported_ = false;
+    /// The response that is being read belongs to another request.
+    bool skipping_ = false;
+    int skipped_responses_ = 0;
     bool ended_ = false;
 };
 
