Bound the log lines about members and endpoints to five of a kind in a second

Ruled out: moving them to debug, which hides single changes at small sites. Change: log_budget; the next line of the kind says how many were left out. Lines about requests are all written; at debug all are.

--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
@@ -10,6 +10,7 @@
 #include <parsleyshift/runtime/channel.hpp>               // channel
 #include <parsleyshift/runtime/event_log.hpp>             // event_log
 #include <parsleyshift/runtime/inbound_event.hpp>         // inbound_event
+#include <parsleyshift/runtime/log_budget.hpp>            // is_budgeted, log_budget
 #include <parsleyshift/runtime/metrics.hpp>               // metrics
 #include <parsleyshift/runtime/peer_network.hpp>          // peer_network
 #include <parsleyshift/runtime/settings_file.hpp>         // settings_file
@@ -140,9 +141,9 @@
 
   private:
     static constexpr std::size_t peer_channel_capacity = 1024;
-    static constexpr duration settings_poll_interval{1'000};
     /// Bytes per millisecond of a link of 1 Mbit/s.
     static constexpr double bytes_per_ms_and_mbps = 125.0;
+    static constexpr duration settings_poll_interval{1'000};
     /// File descriptors kept for endpoints, peers, listeners and files; the others are for callers.
     static constexpr std::int64_t reserved_descriptors = 700;
 
@@ -275,7 +276,21 @@
     {
         const bool is_warning = entry.what == log_event::endpoint_ejected || entry.what == log_event::dependency_lost ||
                                 entry.what == log_event::request_quarantined;
-        log_.write(is_warning ? log_level::warning : log_level::info, entry.what, entry.detail);
+        write_budgeted(is_warning ? log_level::warning : log_level::info, entry.what, entry.detail);
+    }
+    /// Writes a line unless too many of its kind have been written in this second; the next one says how many were
+    /// left out.
+    void write_budgeted(log_level level, log_event kind, const std::string& detail)
+    {
+        if (!is_budgeted(kind) || log_.is_enabled(log_level::debug))
+        {
+            log_.write(level, kind, detail);
+            return;
+        }
+        if (const auto left_out = log_budget_.admit(kind, millisecond_clock::now()))
+        {
+            log_.write(level, kind, detail + (*left_out == 0 ? "" : " left_out=" + std::to_string(*left_out)));
+        }
     }
     void execute(stop_complete& /*complete*/)
     {
@@ -360,7 +375,7 @@
     void on_item_rejected(const error& why)
     {
         metrics_.count_malformed(input_source::platform, why.kind);
-        log_.write(log_level::warning, log_event::input_rejected, why.message());
+        write_budgeted(log_level::warning, log_event::input_rejected, why.message());
     }
 
     void handle_entry_request(const std::shared_ptr<http_session>& session, const http_request& request)
@@ -551,6 +566,7 @@
     metrics metrics_;
     std::shared_ptr<buffered_sink> sink_;
     event_log log_;
+    log_budget log_budget_;
     channel<inbound_event> peer_events_;
     peer_network peers_;
     forwarder<P> forwarder_;
