Send the notices of one death to the same peers

Cause: a death affects several parts of a prompt, and the notice about each went to peers of its own choice. Peers that knew the deaths of a shared part, but not those of the part that explains them, rejected sound requests. Ruled out: not traced message by message. Change: the peers are drawn once for all notices of a death.

--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -122,19 +122,18 @@
 
 void core_state::send_quarantine_notices(const std::vector<quarantine_notice>& notices)
 {
-    for (const auto& notice : notices)
-    {
-        spread(notice);
-    }
+    // Peers that know only some of the parts which a death has affected would blame the wrong one.
+    spread({notices.begin(), notices.end()});
 }
 
-void core_state::spread(const peer_message& notice)
+void core_state::spread(const std::vector<peer_message>& notices)
 {
-    for (std::size_t sent = 0; sent < notice_fanout; ++sent)
+    for (std::size_t sent = 0; sent < notice_fanout && !notices.empty(); ++sent)
     {
-        if (const member_update* peer = draw_live_peer())
+        const member_update* peer = draw_live_peer();
+        for (std::size_t index = 0; peer != nullptr && index < notices.size(); ++index)
         {
-            send(peer->instance, peer->peer_address, notice);
+            send(peer->instance, peer->peer_address, notices[index]);
         }
     }
 }
@@ -155,11 +154,12 @@
     {
         return;
     }
-    for (const auto& notice : notices)
+    for (const endpoint_id& endpoint : stated)
     {
-        send(peer->instance, peer->peer_address, notice);
+        send(peer->instance, peer->peer_address, notice_of(endpoint));
     }
 }
+
 endpoint_notice core_state::notice_of(const endpoint_id& endpoint) const
 {
     endpoint_notice notice = start_limits.notice_of(endpoint, now);
@@ -182,7 +182,6 @@
     return pauses.end(endpoint, now) ? start_obstacle::paused : start_obstacle::none;
 }
 
-
 const member_update* core_state::draw_live_peer()
 {
     const auto current_members = members.members();
@@ -375,10 +374,10 @@
             endpoint_died(removed.endpoint);
         }
         health.remove(removed.endpoint);
+        start_limits.remove(removed.endpoint);
         pauses.remove(removed.endpoint);
         departures.remove(removed.endpoint);
         rejected_statements.erase(removed.endpoint);
-        start_limits.remove(removed.endpoint);
         ledger.remove(removed.endpoint);
         prefixes.remove(removed.endpoint);
     }
@@ -389,6 +388,7 @@
     for (const auto& leaving : change.leaving)
     {
         log(log_event::endpoint_leaving, leaving.value());
+    }
     for (const listed_instance& listed : list.instances)
     {
         if (listed.leaving)
@@ -396,7 +396,6 @@
             departures.remove(endpoint_id{listed.id});
         }
     }
-    }
     return change;
 }
 
