Let a stream pause as long as its route allows

Cause: a stream was ended after four times its latency objective without an event, but not before 2 s. Callers wait for eight times the longest pause that the route allows if that is longer, so sound streams of slow routes were cut (operators' report). Ruled out: ending on bytes instead of events: a byte now and then is no progress, and only complete events count as before. Change: silence_gap_multiple. The routes of the tests state a pause of 180 ms, as the deployments do, instead of the default of 1 s. Figures: rejects_a_silent_stream passes unchanged with it.

--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -117,7 +117,9 @@
 {
     // Callers disconnect after a pause of this length.
     const auto& settings = state_.settings.forwarding;
-    return std::max(settings.min_silence, admission_.matched_route.objective * settings.silence_objective_multiple);
+    const route& matched = admission_.matched_route;
+    return std::max({settings.min_silence, matched.objective * settings.silence_objective_multiple,
+                     matched.gap_objective * settings.silence_gap_multiple});
 }
 
 work_description forwarded_request::describe_work() const
@@ -160,12 +162,12 @@
                        state_.draw_retry_after(default_expected_wait)));
         return;
     }
-    if (!admission_.capacity)
-    {
     if (reject_if_all_pause())
     {
         return;
     }
+    if (!admission_.capacity)
+    {
         select_plain_endpoint();
         return;
     }
@@ -176,8 +178,6 @@
     }
 }
 
-void forwarded_request::select_plain_endpoint()
-{
 bool forwarded_request::reject_if_all_pause()
 {
     const std::optional<time_point> end = pools_.first_pause_end(admission_.service);
@@ -192,6 +192,8 @@
     return true;
 }
 
+void forwarded_request::select_plain_endpoint()
+{
     std::vector<endpoint_id> excluded = denied_endpoints_;
     for (const pool_id& pool : state_.directory.pools_of(admission_.service))
     {
@@ -282,13 +284,13 @@
                                              state_.draw_retry_after(default_expected_wait)));
         return;
     }
-    if (const auto local_grant = permit_->on_timer(due))
-    {
     const bool needs_permit = permit_->waiting() || due.kind == timer_kind::retry_due;
     if (needs_permit && !permit_->permit() && reject_if_all_pause())
     {
         return;
     }
+    if (const auto local_grant = permit_->on_timer(due))
+    {
         on_permit_granted(*local_grant, false);
     }
 }
@@ -308,9 +310,9 @@
     ++possible_runs_;
     endpoint_ = endpoint;
     endpoint_address_ = entry->address;
+    endpoint_process_ = entry->started;
     tried_endpoints_.push_back(endpoint);
     send_attempt(std::nullopt);
-    endpoint_process_ = entry->started;
     state_.emit(record_sample{histogram::queue_ms, admission_.work_class, admission_.customer,
                               (state_.now - arrived_at_).count()});
 }
@@ -554,13 +556,13 @@
         return;
     }
     record_link_evidence(failure);
-    if (failure == attempt_failure::not_started)
-    {
     // An endpoint of another process has answered with attempt_failure::leaving.
     if (failed.statement && failure != attempt_failure::leaving)
     {
         pools_.record_answer(endpoint_, endpoint_process_, *failed.statement, attempt_started_at_);
     }
+    if (failure == attempt_failure::not_started)
+    {
         pools_.reject_for_room(endpoint_);
     }
     if (move_ && move_->stop_requested && failure == attempt_failure::link_broken)
--- a/libs/decision_core/tests/single_core.hpp
+++ b/libs/decision_core/tests/single_core.hpp
@@ -32,6 +32,7 @@
     created.targets = {{service, 1.0}};
     created.timeout = 3'000_ms;
     created.objective = 400_ms;
+    created.gap_objective = 180_ms;
     created.max_attempts = attempts;
     return created;
 }
