--- a/libs/configuration/tests/cold_start_test.cpp
+++ b/libs/configuration/tests/cold_start_test.cpp
@@ -104,14 +104,15 @@
 // Guards against a larger fleet in which the copies that were asked for at once all come too late.
 TEST(cold_start, a_fleet_of_1600_gets_its_copies)
 {
+    constexpr std::size_t instances = 1'600;
     simulated_links links{start};
-    simulated_region region{links, shape_of(1'600)};
+    simulated_region region{links, shape_of(instances)};
     fill(region);
     region.start_cold(6'000_ms);
     links.run_until(links.now() + 15'000_ms);
-    LONGS_EQUAL(1'600, copies(region, 1'600));
+    LONGS_EQUAL(instances, copies(region, instances));
     // Two calls for each instance at most, besides the readers.
-    CHECK(region.store_calls() <= 2 * 1'600 + calls_of_readers(15'000_ms));
+    CHECK(region.store_calls() <= 2 * instances + calls_of_readers(15'000_ms));
 }
 
 // Guards against instances that wait for seeds which do not answer.
