Put the comments of source_relay where they belong, and drop a parameter that decides nothing

Cause: the comment of notice_before() stood above answer_pending(); answer_to() took the current time only to bound an arrival that is never later; the comment of endpoint_notice::started claimed that limits are bound to a process, which they are not. Ruled out: binding limits to the process, which would change behaviour. Change: comments moved and reworded, the parameter removed from answer_to() and its three callers. Conclusion: behaviour stays as it was.

--- a/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
@@ -208,14 +208,16 @@
         bool has_answered = false;
     };
 
-    /// Adds an answer to the load of this instance's link.
-    /// @return the notice to send before it, if the link is busy
+    /// Answers pulls, or leaves them pending if their answers are large and the link has no room for them.
     std::vector<addressed_answer> answer_pending(std::vector<pending_pull> pulls, bool successful, time_point now);
     [[nodiscard]] bool link_has_room(time_point now) const noexcept
     {
         return link_busy_until_ - now <= settings_.max_queued_time;
     }
+    /// Adds an answer to the load of this instance's link.
+    /// @return the notice to send before it, if the link is busy
     std::optional<source_answer> notice_before(const source_answer& answer, const source_pull& pull, time_point now);
+    /// Whether this instance reads the store, or waits for a reader that has said that it is alive.
     [[nodiscard]] bool progresses() const noexcept
     {
         return reading_ || (pull_in_progress_ && pull_in_progress_->progresses);
--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -112,7 +112,7 @@
     /// @brief Returns the answer to a pull. `available` and `complete` are false when the copy is older than the
     /// receiver's, or when the receiver needs a list of all keys and does not accept it.
     /// @param arrived_at arrival of the pull, which was sent earlier: what was read after it was current then
-    [[nodiscard]] source_answer answer_to(const source_pull& pull, time_point arrived_at, time_point now);
+    [[nodiscard]] source_answer answer_to(const source_pull& pull, time_point arrived_at);
     /// @brief Starts a new listing, because the store no longer has the changes after the revision of the watch. The
     /// local copy stays in use until the listing is complete.
     void restart_listing();
--- a/libs/configuration/src/source_relay.cpp
+++ b/libs/configuration/src/source_relay.cpp
@@ -158,7 +158,7 @@
         pending_pulls_.push_back({from, pull, now, now + settings_.progress_interval});
         return {};
     }
-    source_answer answer = watch_.answer_to(pull, now, now);
+    source_answer answer = watch_.answer_to(pull, now);
     answer.available = answer.available && may_wait;
     std::vector<source_answer> answers;
     if (pull.accepts_notice && size_of(answer) >= settings_.large_answer && !link_has_room(now))
@@ -226,7 +226,7 @@
             pending_pulls_.push_back(std::move(pending));
             continue;
         }
-        source_answer answer = watch_.answer_to(pending.pull, pending.arrived_at, now);
+        source_answer answer = watch_.answer_to(pending.pull, pending.arrived_at);
         answer.available = answer.available && successful;
         if (pending.pull.accepts_notice && size_of(answer) >= settings_.large_answer && !link_has_room(now))
         {
--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -253,7 +253,7 @@
     return {item.key, value.bytes, false, item.changed, true};
 }
 
-source_answer store_watch::answer_to(const source_pull& pull, time_point arrived_at, time_point now)
+source_answer store_watch::answer_to(const source_pull& pull, time_point arrived_at)
 {
     const source_era known_era = era_of(pull);
     // Revisions of an earlier era say nothing about this one, so that all items are new.
@@ -269,7 +269,7 @@
     {
         return answer;
     }
-    answer.age = std::max(std::min(arrived_at, now) - confirmed_, duration{});
+    answer.age = std::max(arrived_at - confirmed_, duration{});
     for (const auto& [key, item] : items_)
     {
         if (item.changed > after)
--- a/libs/configuration/tests/store_watch_test.cpp
+++ b/libs/configuration/tests/store_watch_test.cpp
@@ -111,7 +111,7 @@
     watch.record_failure(true);
     CHECK(watch.next(start + 2_s).what == store_call::kind::list);
     // The copy stays usable until the listing is complete.
-    CHECK(watch.answer_to({1, revision{5}, true}, start + 2_s, start + 2_s).available);
+    CHECK(watch.answer_to({1, revision{5}, true}, start + 2_s).available);
     watch.handle(page({item("a", "2", 40)}, 41));
     CHECK(watch.next(start + 3_s).what == store_call::kind::watch);
     STRCMP_EQUAL("2", value_of("a").c_str());
--- a/libs/messages/include/parsleyshift/messages/peer.hpp
+++ b/libs/messages/include/parsleyshift/messages/peer.hpp
@@ -189,7 +189,7 @@
     bool brittle = false;
     /// The endpoint is about to stop.
     bool leaving = false;
-    /// Process start number of the endpoint; a notice does not apply to another process under the same id.
+    /// With `leaving`: start number of the process that is about to stop. Another process under the same id is not.
     incarnation started{};
 
     friend bool operator==(const endpoint_notice&, const endpoint_notice&) = default;
