Bound what an instance holds of incomplete answers and events

An engine's log runs into its stream without the blank line that ends an event; forwarders exceed their memory within seconds and are killed, and streams of sound engines end with them. Cause: event_splitter kept everything after the last complete event. Related: buffered answers were bounded to 8 MiB each, not in sum, and one above that was dropped without an event, so that its caller waited until its deadline; an endless line was searched from its start with each read. Ruled out: heads (4 KiB of input), reports, copies and responses of the store (limits of their own), backlogs of slow callers. Change: 256 KiB for an event, 24 MiB for all incomplete answers and events; above it the attempt that holds the most fails. An attempt above a limit fails at once.

--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -10,13 +10,14 @@
 #include <parsleyshift/runtime/http_server.hpp>            // http_server
 #include <parsleyshift/runtime/metrics.hpp>                // metrics
 
-#include <algorithm>     // find
+#include <algorithm>     // find, max_element
 #include <functional>    // function
 #include <memory>        // shared_ptr
 #include <optional>      // nullopt, optional
 #include <string>        // string
+#include <string_view>   // string_view
 #include <unordered_map> // unordered_map
-#include <utility>       // move
+#include <utility>       // exchange, move
 #include <vector>        // vector
 
 namespace parsleyshift
@@ -90,6 +91,10 @@
     static constexpr std::size_t max_copy_response_bytes = std::size_t{16} * 1024;
     /// Largest response that is buffered until it is complete.
     static constexpr std::size_t max_buffered_response_bytes = std::size_t{8} * 1024 * 1024;
+    /// Largest event of a stream.
+    static constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+    /// Total size of the responses and events that have arrived in part.
+    static constexpr std::size_t max_total_buffered_bytes = std::size_t{24} * 1024 * 1024;
 
     static http_client_options with_batch_done(http_client_options options, std::function<void()> batch_done)
     {
@@ -118,6 +123,8 @@
         metrics_.count_malformed(input_source::caller, error_kind::queue_full);
     }
     void respond(http_session& session, const local_response& response);
+    /// Fails the attempts with the largest buffers until the total is within max_total_buffered_bytes.
+    void enforce_buffer_limit();
     [[nodiscard]] static std::uint64_t content_hash(const http_request& request);
 
     /// A request in progress.
@@ -141,6 +148,8 @@
     metrics& metrics_;
     std::function<void(event)> feed_;
     std::function<void()> batch_done_;
+    /// Bytes buffered by all attempts. Outlives client_, whose exchanges hold sinks that count themselves out.
+    std::size_t total_buffered_bytes_ = 0;
     http_server server_;
     http_client client_;
     std::unordered_map<request_id, active_request> requests_;
@@ -197,6 +206,14 @@
 {
   public:
     attempt_sink(forwarder& owner, const start_forward& start) : owner_(owner), start_(start) {}
+    ~attempt_sink() override
+    {
+        count_buffered(0);
+    }
+    attempt_sink(const attempt_sink&) = delete;
+    attempt_sink& operator=(const attempt_sink&) = delete;
+    attempt_sink(attempt_sink&&) = delete;
+    attempt_sink& operator=(attempt_sink&&) = delete;
 
     head_verdict on_head(const response_head& head, bool reused_connection) override
     {
@@ -231,9 +248,14 @@
     {
         if (!streaming_)
         {
-            return body.size() <= max_buffered_response_bytes;
+            return buffer(body.size(), max_buffered_response_bytes, "response");
         }
-        if (forward_events(body))
+        const bool progressed = forward_events(body);
+        if (!buffer(splitter_.remainder().size(), max_event_bytes, "event"))
+        {
+            return false;
+        }
+        if (progressed)
         {
             owner_.feed_(forward_progress{start_.attempt, events_sent()});
         }
@@ -303,6 +325,17 @@
     {
         return start_.request;
     }
+    /// Bytes that have arrived and cannot be passed on yet.
+    [[nodiscard]] std::size_t buffered_bytes() const noexcept
+    {
+        return buffered_bytes_;
+    }
+    /// Ends the attempt because its endpoint has sent more than can be buffered.
+    void fail_for_size(std::string_view part, std::size_t limit)
+    {
+        fail(attempt_failure::endpoint_error,
+             "an incomplete " + std::string{part} + " exceeds the limit of " + std::to_string(limit) + " bytes");
+    }
 
   private:
     static constexpr boost::beast::string_view event_stream{"text/event-stream"};
@@ -313,6 +346,23 @@
         return start_.kind == route_kind::stream && evaluation_.sign == answer_sign::success &&
                !evaluation_.not_run_reason && type.substr(0, event_stream.size()) == event_stream;
     }
+    void count_buffered(std::size_t bytes) noexcept
+    {
+        owner_.total_buffered_bytes_ += bytes - std::exchange(buffered_bytes_, bytes);
+    }
+    /// Counts the bytes of an incomplete part, and fails the attempt if they exceed a limit.
+    /// @return false when the attempt has failed
+    bool buffer(std::size_t bytes, std::size_t limit, std::string_view part)
+    {
+        count_buffered(bytes);
+        if (bytes > limit)
+        {
+            fail_for_size(part, limit);
+            return false;
+        }
+        owner_.enforce_buffer_limit();
+        return owner_.attempts_.contains(start_.attempt);
+    }
     /// Returns true for a stream that ended inside an event. A stream without framing must also have an event: the end
     /// of its connection may be the end of its endpoint.
     [[nodiscard]] bool is_broken_off(answer_end end) const
@@ -366,6 +416,7 @@
     response_head head_;
     std::string body_;
     event_splitter splitter_;
+    std::size_t buffered_bytes_ = 0;
     bool streaming_ = false;
 };
 
@@ -429,6 +480,25 @@
     }
 }
 
+template <forwarding_protocol P>
+void forwarder<P>::enforce_buffer_limit()
+{
+    while (total_buffered_bytes_ > max_total_buffered_bytes)
+    {
+        const auto largest =
+            std::max_element(attempts_.begin(), attempts_.end(),
+                             [](const auto& left, const auto& right)
+                             { return left.second.sink->buffered_bytes() < right.second.sink->buffered_bytes(); });
+        if (largest == attempts_.end())
+        {
+            return;
+        }
+        const running_attempt failing = largest->second;
+        client_.cancel(failing.exchange);
+        failing.sink->fail_for_size("response, the largest of all", max_total_buffered_bytes);
+    }
+}
+
 template <forwarding_protocol P>
 void forwarder<P>::handle(const start_forward& start)
 {
--- a/libs/forwarding/src/http_relay.cpp
+++ b/libs/forwarding/src/http_relay.cpp
@@ -111,9 +111,11 @@
 
 std::string_view event_splitter::append(std::string_view chunk)
 {
+    // Searches new bytes only: a line can arrive in many chunks.
+    const std::size_t searched = buffer_.size();
     buffer_.append(chunk);
     std::size_t complete_size = 0;
-    for (auto end = buffer_.find('\n', parsed_); end != std::string::npos; end = buffer_.find('\n', parsed_))
+    for (auto end = buffer_.find('\n', searched); end != std::string::npos; end = buffer_.find('\n', parsed_))
     {
         std::string_view line{buffer_.data() + parsed_, end - parsed_};
         parsed_ = end + 1;
--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -6,6 +6,9 @@
 #include <parsleyshift/forwarding/forwarder.hpp> // forwarder
 
 #include <condition_variable> // condition_variable
+#include <future>             // promise
+#include <map>                // map
+#include <memory>             // make_unique
 #include <mutex>              // mutex
 #include <string>             // string
 #include <thread>             // thread
@@ -520,6 +523,94 @@
     LONGS_EQUAL(3, forwarder.expect<forward_completed>().events);
 }
 
+// Guards against an endpoint that takes the instance's memory with a line without end in its stream.
+TEST(forwarder, breaks_off_a_stream_whose_event_does_not_end)
+{
+    std::promise<bool> closed;
+    scripted_server endpoint(
+        [&closed](scripted_server::connection& from)
+        {
+            from.request();
+            from.send(stream_head);
+            from.send_chunk("id: 1\ndata: a\n\n");
+            const std::string part(64 * 1024, 'x');
+            for (int count = 0; count < 8; ++count)
+            {
+                from.send_chunk(part);
+            }
+            closed.set_value(!from.request().has_value());
+        });
+    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::stream));
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    caller.read_until("\r\n\r\n");
+    STRCMP_EQUAL("id: 1\ndata: a\n\n", caller.read_chunk().c_str());
+    STRCMP_EQUAL("", caller.read_all().c_str());
+    CHECK(forwarder.expect<attempt_failed>().failure == attempt_failure::endpoint_error);
+    auto is_closed = closed.get_future();
+    CHECK(is_closed.wait_for(safety_timeout) == std::future_status::ready && is_closed.get());
+}
+
+// Guards against a plain answer above the limit that is dropped in silence, so that its caller waits for its deadline.
+TEST(forwarder, rejects_an_answer_that_exceeds_the_limit_at_once)
+{
+    scripted_server endpoint(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.send("HTTP/1.1 200 OK\r\nx-id: 5\r\n\r\n" + std::string(9 * 1024 * 1024, 'x'));
+            from.request();
+        });
+    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::once));
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    STRCMP_EQUAL("502", status_of(caller.read_answer()).c_str());
+}
+
+// Guards against answers that are within the limit each and exceed the instance's memory together.
+TEST(forwarder, fails_the_largest_of_many_incomplete_answers)
+{
+    constexpr int large_answers = 4;
+    const std::string large_head = "HTTP/1.1 200 OK\r\nx-id: 5\r\nContent-Length: 8000000\r\n\r\n";
+    std::vector<std::unique_ptr<scripted_server>> endpoints;
+    for (int index = 0; index < large_answers; ++index)
+    {
+        endpoints.push_back(std::make_unique<scripted_server>(
+            [&large_head](scripted_server::connection& from)
+            {
+                from.request();
+                from.send(large_head + std::string(7'000'000, 'x'));
+                from.request();
+            }));
+    }
+    std::map<attempt_id, request_id> active;
+    const auto core = [&](const event& what, forwarder<small_protocol>& tested)
+    {
+        if (const auto* request = std::get_if<forward_request>(&what))
+        {
+            const std::uint64_t attempt = active.size();
+            active.emplace(attempt_id{attempt + 1}, request->request);
+            tested.handle(start_at(endpoints[attempt]->address(), request->request, attempt + 1, route_kind::once));
+        }
+        else if (const auto* failed = std::get_if<attempt_failed>(&what))
+        {
+            request_rejected rejected;
+            rejected.request = active.at(failed->attempt);
+            rejected.what = outcome::unknown;
+            tested.handle(rejected);
+        }
+    };
+    running_forwarder forwarder(core);
+    std::vector<std::unique_ptr<client>> callers;
+    for (int index = 0; index < large_answers; ++index)
+    {
+        callers.push_back(std::make_unique<client>(forwarder.port()));
+        callers.back()->send(request_text_of_caller);
+    }
+    // Three times 7 MB fit, four times 7 MB do not.
+    CHECK(forwarder.expect<attempt_failed>().failure == attempt_failure::endpoint_error);
+}
+
 // Guards against an endpoint that keeps running a request whose caller has disconnected.
 TEST(forwarder, closes_the_endpoint_connection_when_the_caller_disconnects)
 {
