Tell an empty list of customers from a missing one

Version 2 of the configuration removes the last customer; from then on requests with its key, and with keys that no version ever had, run for good, where both got 401 before. Cause: the decoder made the same empty vector of a missing list and of an empty one, and route_index took no customers for no keys needed. Ruled out: the lease of keys, which does not matter once no key is asked for; parsleyshiftd, which rejects requests of customers without a record. Change: the list is optional in forwarding_configuration; with a list, also an empty one, requests need a key. On a scratch copy with the old condition put back, route_index.requires_a_key_when_the_list_of_customers_is_empty and forwarding_core.accepts_no_key_after_the_last_customer_was_removed fail.

--- a/libs/decision_core/src/forward_manager.cpp
+++ b/libs/decision_core/src/forward_manager.cpp
@@ -98,7 +98,7 @@
     {
         return *holder;
     }
-    if (!routes_->has_customers() || matched.anonymous)
+    if (!routes_->requires_key() || matched.anonymous)
     {
         return key_holder{};
     }
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -168,8 +168,9 @@
         }
         state_.log(log_event::configuration_accepted,
                    "version=" + std::to_string(configured.configuration.version) +
-                       " routes=" + std::to_string(configured.configuration.routes.size()) +
-                       " customers=" + std::to_string(configured.configuration.customers.size()));
+                       " routes=" + std::to_string(configured.configuration.routes.size()) + " customers=" +
+                       (configured.configuration.customers ? std::to_string(configured.configuration.customers->size())
+                                                           : std::string{"none listed, no keys required"}));
         apply_endpoint_list(outage_filter_.in_force());
         set_capacities();
     }
--- a/libs/decision_core/tests/forwarding_core_test.cpp
+++ b/libs/decision_core/tests/forwarding_core_test.cpp
@@ -82,6 +82,25 @@
     CHECK(core.last_start(core.send_request("/idempotent/1", "new")) != nullptr);
 }
 
+// Guards against removed and unknown keys that are accepted once the last customer has been removed.
+TEST(forwarding_core, accepts_no_key_after_the_last_customer_was_removed)
+{
+    core.configure();
+    forwarding_configuration emptied = make_configuration(2, {});
+    emptied.customers->clear();
+    core.feed(forwarding_configured{emptied});
+    core.feed(configuration_confirmed{core.now});
+    for (const char* key : {"key", "never-held", ""})
+    {
+        CHECK(rejection_kind(core.send_request("/non-idempotent/1", key)) == error_kind::unauthenticated);
+    }
+    CHECK(core.last_start(core.send_request("/keyless/1", "")) != nullptr);
+    emptied.version = 3;
+    emptied.customers.reset();
+    core.feed(forwarding_configured{emptied});
+    CHECK(core.last_start(core.send_request("/non-idempotent/1", "")) != nullptr);
+}
+
 // Guards against a second run of a non-idempotent request: it may be retried only when the failure proves that
 // the first attempt did not run.
 TEST(forwarding_core, retries_non_idempotent_requests_only_when_proven_not_run)
--- a/libs/decision_core/tests/single_core.hpp
+++ b/libs/decision_core/tests/single_core.hpp
@@ -49,7 +49,7 @@
     keyless.anonymous = true;
     created.routes.push_back(keyless);
     created.services = {{plain_service, 100, std::nullopt}, {engine_service, 100, engine_capacity{8, 20'000, 4, true}}};
-    created.customers = {{customer_id{"c"}, std::move(keys), std::nullopt}};
+    created.customers.emplace().push_back({customer_id{"c"}, std::move(keys), std::nullopt});
     return created;
 }
 
--- a/libs/messages/include/parsleyshift/messages/forward.hpp
+++ b/libs/messages/include/parsleyshift/messages/forward.hpp
@@ -125,8 +125,8 @@
     std::int64_t version = 0;
     std::vector<route> routes;
     std::vector<forwarding_service> services;
-    /// Empty: requests are accepted without a key.
-    std::vector<customer_keys> customers;
+    /// The customers whose keys are accepted. With an empty list, no key is; without a list, requests need none.
+    std::optional<std::vector<customer_keys>> customers;
     forwarding_limits bounds;
 
     friend bool operator==(const forwarding_configuration&, const forwarding_configuration&) = default;
--- a/libs/routing/include/parsleyshift/routing/route_index.hpp
+++ b/libs/routing/include/parsleyshift/routing/route_index.hpp
@@ -45,10 +45,11 @@
     {
         return configuration_;
     }
-    /// @brief True when the configuration has customers, so that requests need a customer's key.
-    [[nodiscard]] bool has_customers() const noexcept
+    /// @brief True when the configuration lists customers, so that requests need the key of one. The list may be
+    /// empty; then no key is accepted.
+    [[nodiscard]] bool requires_key() const noexcept
     {
-        return !configuration_.customers.empty();
+        return configuration_.customers.has_value();
     }
 
   private:
--- a/libs/routing/src/route_index.cpp
+++ b/libs/routing/src/route_index.cpp
@@ -27,11 +27,14 @@
         const route& entry = configuration_.routes[index];
         by_host_[host_key(entry.host)].try_emplace(entry.path_prefix, index);
     }
-    for (const customer_keys& customer : configuration_.customers)
+    if (configuration_.customers)
     {
-        for (const std::string& key : customer.keys)
+        for (const customer_keys& customer : *configuration_.customers)
         {
-            by_key_.try_emplace(key, key_holder{customer.customer, customer.priority});
+            for (const std::string& key : customer.keys)
+            {
+                by_key_.try_emplace(key, key_holder{customer.customer, customer.priority});
+            }
         }
     }
     for (std::size_t index = 0; index < configuration_.services.size(); ++index)
--- a/libs/routing/tests/route_index_test.cpp
+++ b/libs/routing/tests/route_index_test.cpp
@@ -83,9 +83,10 @@
 TEST(route_index, finds_holder_of_key)
 {
     forwarding_configuration configuration;
-    configuration.customers = {{customer_id{"c1"}, {"k1", "k2"}, 3}, {customer_id{"c2"}, {"k3"}, std::nullopt}};
+    configuration.customers.emplace() = {{customer_id{"c1"}, {"k1", "k2"}, 3},
+                                         {customer_id{"c2"}, {"k3"}, std::nullopt}};
     const route_index routes{configuration};
-    CHECK(routes.has_customers());
+    CHECK(routes.requires_key());
     STRCMP_EQUAL("c1", routes.holder_of("k2")->customer.value().c_str());
     LONGS_EQUAL(3, *routes.holder_of("k1")->priority);
     STRCMP_EQUAL("c2", routes.holder_of("k3")->customer.value().c_str());
@@ -93,6 +94,15 @@
     POINTERS_EQUAL(nullptr, routes.holder_of(""));
 }
 
+// Guards against requests without a valid key that are let in because the list of customers has become empty.
+TEST(route_index, requires_a_key_when_the_list_of_customers_is_empty)
+{
+    forwarding_configuration configuration;
+    CHECK_FALSE(route_index{configuration}.requires_key());
+    configuration.customers.emplace();
+    CHECK_TRUE(route_index{configuration}.requires_key());
+}
+
 // Guards against a traffic split that sends requests to a target of weight 0, or all requests to one target.
 TEST(route_index, draws_targets_by_weight)
 {
