Reject a plain answer without framing that ends before its body

Cause: the end of the connection ends an answer that has neither a length nor chunks, also when no byte of a body has come. Change: a success of this form without a body has failed with link_broken; its outcome is unknown. Before: with the check taken out (scratch copy), forwarder.rejects_an_unframed_answer_that_ends_before_its_body fails. After: passes.

--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -283,6 +283,12 @@
                                                    " bytes after its last complete event");
             return;
         }
+        if (!streaming_ && body.empty() && end == answer_end::connection_closed &&
+            evaluation_.sign == answer_sign::success)
+        {
+            fail(attempt_failure::link_broken, "the connection was closed after the head, which announces no length");
+            return;
+        }
         if (!streaming_)
         {
             body_ = std::move(body);
--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -474,6 +474,42 @@
     }
 }
 
+// Guards against an answer whose endpoint closed inside or right after the head, which has no length, and that reaches
+// the caller as a complete and empty one.
+TEST(forwarder, rejects_an_unframed_answer_that_ends_before_its_body)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nx-id: 5\r\nx-signature: s\r\n\r\n";
+    std::size_t sent = 0;
+    scripted_server endpoint(
+        [&](scripted_server::connection& from)
+        {
+            from.request();
+            from.send(head.substr(0, sent));
+        });
+    for (sent = 1; sent <= head.size(); ++sent)
+    {
+        running_forwarder forwarder(simple_core(endpoint.address(), route_kind::once));
+        client caller(forwarder.port());
+        caller.send(request_text_of_caller);
+        STRCMP_EQUAL("502", status_of(caller.read_answer()).c_str());
+    }
+}
+
+// Guards against a check for broken answers that also rejects empty ones with a length.
+TEST(forwarder, passes_on_an_empty_answer_with_a_length)
+{
+    scripted_server endpoint(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.send("HTTP/1.1 200 OK\r\nx-id: 5\r\nContent-Length: 0\r\n\r\n");
+        });
+    running_forwarder forwarder(simple_core(endpoint.address(), route_kind::once));
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    STRCMP_EQUAL("200", status_of(caller.read_answer()).c_str());
+}
+
 // Guards against lost or repeated events, or a second response head, when a run continues on another engine.
 TEST(forwarder, joins_the_streams_of_a_moved_run)
 {
