Take no work in a planned stop that it would cut, and end the rest with an answer

Of 200 callers with short orders, some connections closed without an answer in the last 20 ms. Cause: a stop took work by the clock alone; nothing ended what was still in progress when the grace was over; requests that had arrived in part, or lay unread, were dropped with their connections, and a stop that ended early still admitted requests. Ruled out: connections idle for long; a second SIGTERM or a SIGHUP meanwhile. Change: run_durations learns how long the requests of a route run; in a stop, a request that is not expected to end in time is refused at once, also one that waits. At 15/16 of the grace the rest gets its final answer: not run, or an unknown outcome. When the last request has ended, late ones are read and refused before their connections close. Before: with the changes taken out (scratch copy), forwarding_core.refuses_requests_that_may_outlast_a_stop and judges_requests_in_a_stop_by_how_long_their_route_takes fail. The mutation of ends_requests_in_progress_before_a_stop_is_over showed that its first form passed by the request's own deadline; it now asks for the reason of the answer. After: all pass.

--- a/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
@@ -96,6 +96,9 @@
     /// Time from the start of a planned stop after which new requests are rejected, even if callers still send them:
     /// requests in progress need the rest of the time that the platform grants.
     duration stop_reject_after{4'000};
+    /// Time from the start of a planned stop after which the requests that are still in progress are ended with their
+    /// final answers; shorter than the time that the platform grants, so that these answers can be written.
+    duration stop_end_after{7'500};
     /// Time for which callers should cache an entry answer.
     duration entry_ttl{2'000};
     /// Maximum number of addresses in an entry answer.
--- a/libs/decision_core/src/core_state.hpp
+++ b/libs/decision_core/src/core_state.hpp
@@ -25,6 +25,7 @@
 #include <parsleyshift/routing/peer_health.hpp>               // peer_health
 #include <parsleyshift/routing/prefix_index.hpp>              // prefix_index
 #include <parsleyshift/routing/retry_policy.hpp>              // budgeted_retry
+#include <parsleyshift/routing/run_durations.hpp>             // run_durations
 #include <parsleyshift/routing/stated_departures.hpp>         // stated_departures
 #include <parsleyshift/scheduling/length_estimator.hpp>       // length_estimator
 
@@ -131,6 +132,9 @@
     time_point now;
     /// True from the start of a planned stop, or once a later process has taken this instance's id.
     bool stopping = false;
+    /// When a planned stop ends the requests that are still in progress.
+    time_point stop_end = never;
+    run_durations durations;
 
     [[nodiscard]] const member_update& self() const
     {
--- a/libs/decision_core/src/forward_manager.cpp
+++ b/libs/decision_core/src/forward_manager.cpp
@@ -35,6 +35,7 @@
         return false;
     }
     routes_.emplace(configuration);
+    state_.durations.retain(configuration.routes);
     // The most urgent class of streams gets the reserved lane when there is a less urgent one.
     int most_urgent = 0;
     int least_urgent = 0;
@@ -202,6 +203,16 @@
     update_all([](forwarded_request& active) { active.reject_if_blocked(); });
 }
 
+void forward_manager::begin_stop()
+{
+    update_all([](forwarded_request& active) { active.on_stop_began(); });
+}
+
+void forward_manager::end_stop()
+{
+    update_all([](forwarded_request& active) { active.on_stop_ending(); });
+}
+
 void forward_manager::on_links_lost()
 {
     update_all([](forwarded_request& active) { active.on_links_lost(); });
--- a/libs/decision_core/src/forward_manager.hpp
+++ b/libs/decision_core/src/forward_manager.hpp
@@ -32,6 +32,10 @@
         refuse_streams_from_ = streams;
         refuse_all_from_ = all;
     }
+    /// @brief Rejects the waiting requests that would not end before the end of a planned stop.
+    void begin_stop();
+    /// @brief Ends all requests in progress.
+    void end_stop();
     /// @brief Passes a permit to its request, or returns it to the scheduler `from` when the request has ended.
     void handle(const permit_grant& grant, const instance_id& from);
     /// @brief Rejects the requests whose answers have not begun and whose prompts have a part that is now blocked.
--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -60,6 +60,7 @@
       deadline_(state.now + std::min(request_.timeout.value_or(admission_.matched_route.timeout),
                                      admission_.matched_route.timeout)),
       attempt_started_at_(state.now),
+      run_started_at_(state.now),
       last_progress_at_(state.now)
 {
 }
@@ -150,6 +151,10 @@
 
 void forwarded_request::select_endpoint()
 {
+    if (reject_if_outlasting_stop())
+    {
+        return;
+    }
     if (needs_relay() && start_relay())
     {
         return;
@@ -178,6 +183,21 @@
     }
 }
 
+bool forwarded_request::reject_if_outlasting_stop()
+{
+    const std::optional<duration> learned = state_.durations.expected(admission_.matched_route.name);
+    // Without experience, a plain request may take until its deadline. A stream that is cut off loses only its rest.
+    const bool is_unknown = !learned && is_stream();
+    const duration expected = std::min(learned.value_or(duration::max()), deadline_ - state_.now);
+    if (state_.stop_end == never || is_unknown || state_.now + expected <= state_.stop_end)
+    {
+        return false;
+    }
+    reject(make_error(error_kind::shutting_down, "the instance stops before the request can be expected to end",
+                      duration{0}));
+    return true;
+}
+
 bool forwarded_request::reject_if_all_pause()
 {
     const std::optional<time_point> end = pools_.first_pause_end(admission_.service);
@@ -305,6 +325,11 @@
 
 void forwarded_request::start_attempt(const endpoint_id& endpoint)
 {
+    // A stop may have begun while the request waited for its permit.
+    if (reject_if_outlasting_stop())
+    {
+        return;
+    }
     const endpoint_entry* entry = state_.directory.find(endpoint);
     ++attempt_count_;
     ++possible_runs_;
@@ -312,6 +337,7 @@
     endpoint_address_ = entry->address;
     endpoint_process_ = entry->started;
     tried_endpoints_.push_back(endpoint);
+    run_started_at_ = state_.now;
     send_attempt(std::nullopt);
     state_.emit(record_sample{histogram::queue_ms, admission_.work_class, admission_.customer,
                               (state_.now - arrived_at_).count()});
@@ -541,6 +567,7 @@
 
 void forwarded_request::succeed()
 {
+    state_.durations.record(admission_.matched_route.name, state_.now - run_started_at_);
     state_.budget_of(admission_.service).record_success();
     state_.emit(record_sample{histogram::answer_ms, admission_.work_class, admission_.customer,
                               (state_.now - arrived_at_).count()});
@@ -701,6 +728,21 @@
     finish(final_outcome, make_error(error_kind::cancelled, "the caller disconnected"));
 }
 
+void forwarded_request::on_stop_began()
+{
+    if (attempt_ == attempt_id{})
+    {
+        reject_if_outlasting_stop();
+    }
+}
+
+void forwarded_request::on_stop_ending()
+{
+    const bool may_have_run = tracker_.without_answer() != outcome::not_run;
+    reject(make_error(may_have_run ? error_kind::result_unknown : error_kind::shutting_down,
+                      "the instance stops before the request has ended", duration{0}));
+}
+
 void forwarded_request::set_key_valid_until(time_point valid_until)
 {
     admission_.key_valid_until = valid_until;
--- a/libs/decision_core/src/forwarded_request.hpp
+++ b/libs/decision_core/src/forwarded_request.hpp
@@ -95,6 +95,10 @@
     /// @brief This instance has lost its links to all endpoints: passes the request on to another instance, if it has
     /// not been sent or may be repeated.
     void on_links_lost();
+    /// @brief A planned stop has begun: rejects the request if it has not been sent and would not end in time.
+    void on_stop_began();
+    /// @brief The time for a planned stop is over: ends the request with what is known about its outcome.
+    void on_stop_ending();
     /// @brief Requests or registers the permit again, since the pool's scheduler may have moved to another instance.
     void on_scheduler_changed();
 
@@ -166,6 +170,9 @@
     /// Rejects the request with the time to wait if no endpoint of its service accepts requests of this instance now.
     /// @return true when it was rejected
     bool reject_if_all_pause();
+    /// Rejects the request, which is not in progress at an endpoint, if a planned stop would end it before its answer.
+    /// @return true when it was rejected
+    bool reject_if_outlasting_stop();
     void check_silence();
     void reject(error reason);
     void complete_stream(const forward_completed& completed);
@@ -216,6 +223,8 @@
     time_point arrived_at_;
     time_point deadline_;
     time_point attempt_started_at_;
+    /// Start of the attempt that a run began with; it may have moved since.
+    time_point run_started_at_;
     time_point last_progress_at_;
     /// Estimated 0.2 quantile of the milliseconds between two events, which is near the time of an engine step that
     /// processes no prompt; see record_gap().
--- a/libs/decision_core/src/forwarding_core.cpp
+++ b/libs/decision_core/src/forwarding_core.cpp
@@ -225,6 +225,8 @@
         stop_started_at_ = state_.now;
         forwards_.refuse_from(stop_started_at_ + refuse_streams_after_stop,
                               stop_started_at_ + state_.settings.forwarding.stop_reject_after);
+        state_.stop_end = stop_started_at_ + state_.settings.forwarding.stop_end_after;
+        forwards_.begin_stop();
         state_.log(log_event::stop_began, "waiting for requests in progress");
         membership_output members;
         state_.members.leave(state_.now, members);
@@ -545,6 +547,10 @@
         {
             return;
         }
+        if (state_.now >= state_.stop_end)
+        {
+            forwards_.end_stop();
+        }
         const auto& settings = state_.settings.forwarding;
         const time_point refuse_all_at = stop_started_at_ + settings.stop_reject_after;
         const time_point quiet_at =
@@ -553,12 +559,14 @@
         if (forwards_.active_count() > 0 || state_.now < earliest_end)
         {
             // The end of the last request causes an event, so no timer is needed for it.
-            const time_point next = state_.now < earliest_end ? earliest_end : refuse_all_at;
-            next_stop_check_ = state_.now < next ? next : never;
+            const time_point next = state_.now < refuse_all_at ? refuse_all_at : state_.stop_end;
+            next_stop_check_ = state_.now < earliest_end ? earliest_end : next;
             return;
         }
         next_stop_check_ = never;
         stop_completed_ = true;
+        // Requests that still arrive on open connections are refused while the last answers are written.
+        forwards_.refuse_from(state_.now, state_.now);
         state_.log(log_event::stop_finished, "nothing is in progress");
         state_.emit(stop_complete{});
     }
--- a/libs/decision_core/tests/forwarding_core_test.cpp
+++ b/libs/decision_core/tests/forwarding_core_test.cpp
@@ -501,6 +501,76 @@
     LONGS_EQUAL(1, core.start_count(core.send_request("/idempotent/1")));
 }
 
+// Guards against a request that is taken in a planned stop, passed on, and cut off without an answer when the process
+// must end: one whose deadline is later, on a route of which nothing is known yet. The stop ends after 7.5 s.
+TEST(forwarding_core, refuses_requests_that_may_outlast_a_stop)
+{
+    core.configure();
+    core.feed(stop_requested{});
+    core.advance(3'900_ms);
+    core.feed(configuration_confirmed{core.now});
+    LONGS_EQUAL(1, core.start_count(core.send_request("/non-idempotent/1")));
+    forwarding_configuration patient = make_configuration(2, {"key"});
+    patient.routes[1].timeout = 4_s;
+    core.feed(forwarding_configured{patient});
+    const request_id refused = core.send_request("/non-idempotent/2");
+    CHECK(rejection_kind(refused) == error_kind::shutting_down);
+    CHECK(rejection_outcome(refused) == outcome::not_run);
+    LONGS_EQUAL(0, core.start_count(refused));
+}
+
+// Guards against a stop that refuses short work because of its long deadline, or takes work that usually lasts longer
+// than what is left of the stop.
+TEST(forwarding_core, judges_requests_in_a_stop_by_how_long_their_route_takes)
+{
+    for (const auto& [took, starts] : {std::pair{100_ms, 1}, std::pair{6_s, 0}})
+    {
+        single_core tested;
+        tested.configure();
+        for (int count = 0; count < 8; ++count)
+        {
+            const request_id request = tested.send_request("/stream/1");
+            const attempt_id attempt = tested.last_start(request)->attempt;
+            tested.feed(forward_answered{attempt, answer_sign::success, false});
+            for (duration elapsed{}; elapsed < took; elapsed += 100_ms)
+            {
+                tested.advance(100_ms);
+                tested.feed(forward_progress{attempt, 1 + elapsed / 100_ms});
+                tested.feed(configuration_confirmed{tested.now});
+            }
+            tested.feed(forward_completed{attempt, 100});
+        }
+        tested.feed(stop_requested{});
+        tested.advance(2_s);
+        LONGS_EQUAL(starts, tested.start_count(tested.send_request("/stream/1")));
+    }
+}
+
+// Guards against requests that a stopping process leaves without any answer, and against an answer that promises that a
+// request has not run although it may have.
+TEST(forwarding_core, ends_requests_in_progress_before_a_stop_is_over)
+{
+    core.configure();
+    forwarding_configuration patient = make_configuration(2, {"key"});
+    patient.routes[1].timeout = 20_s;
+    core.feed(forwarding_configured{patient});
+    const request_id order = core.send_request("/non-idempotent/1");
+    const request_id stream = core.send_request("/stream/1");
+    core.feed(forward_answered{core.last_start(stream)->attempt, answer_sign::success, false});
+    core.feed(stop_requested{});
+    for (int count = 0; count < 14; ++count)
+    {
+        core.advance(500_ms);
+        core.feed(forward_progress{core.last_start(stream)->attempt, count + 1});
+        CHECK(core.rejection(order) == nullptr);
+    }
+    core.advance(600_ms);
+    CHECK(rejection_kind(order) == error_kind::result_unknown);
+    CHECK(rejection_outcome(order) == outcome::unknown);
+    CHECK(rejection_outcome(stream) != outcome::not_run);
+    CHECK_TRUE(core.stopped);
+}
+
 // Guards, over random failures, against two runs of a non-idempotent request, a request that ran but is reported as not
 // run, and a request that ends never or twice.
 TEST(forwarding_core, ends_each_request_once_over_random_failures)
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
@@ -298,7 +298,7 @@
         load_reader_.close();
         // The last response may not have been written yet.
         forwarder_.flush();
-        forwarder_.server().finish([this] { context_.stop(); });
+        forwarder_.server().finish(late_requests::answered, [this] { context_.stop(); });
     }
 
     typename store_reader<P>::callbacks store_callbacks()
--- a/libs/forwarding/src/forwarding_runtime.cpp
+++ b/libs/forwarding/src/forwarding_runtime.cpp
@@ -12,6 +12,8 @@
 constexpr duration key_margin{700};
 /// Some callers keep the addresses of an entry response for up to three times the stated time.
 constexpr int entry_keep_factor = 3;
+/// Part of the time for a planned stop in which the last answers are written.
+constexpr int last_answers_divisor = 16;
 
 } // namespace
 
@@ -31,6 +33,7 @@
     core.forwarding.entry_ttl = std::min(core.forwarding.entry_ttl, settings.longest_entry_keep);
     core.forwarding.min_stop_duration = core.forwarding.entry_ttl * entry_keep_factor / 2;
     core.forwarding.stop_reject_after = settings.stop_grace / 2;
+    core.forwarding.stop_end_after = settings.stop_grace - settings.stop_grace / last_answers_divisor;
     return forwarding_settings_of(core);
 }
 
--- a/libs/runtime/include/parsleyshift/runtime/http_server.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_server.hpp
@@ -57,6 +57,15 @@
     virtual void on_connection_refused() {}
 };
 
+/// @brief What http_server::finish() does with requests that have arrived in part or have not been read.
+enum class late_requests
+{
+    /// Their connections are closed, which tells the clients that the requests were not read.
+    dropped,
+    /// They are read and passed to the handler, which must still respond to them.
+    answered,
+};
+
 /// @brief Listening address, limits and timeouts of a server.
 struct http_server_options
 {
@@ -81,8 +90,11 @@
     http_server& operator=(http_server&&) = delete;
 
     /// @brief Binds the address and starts accepting connections.
-    /// @return error invalid_field when the address is malformed or cannot be bound
+    /// @return error invalid_field when the address is malformed or cannot be bound, address_in_use when another
+    /// process listens on it
     result<void> listen();
+    /// @brief Undoes listen(); it can be called again. Connections that were accepted stay open.
+    void stop_listening();
     /// @brief Port that the server listens on. Requires a successful listen().
     [[nodiscard]] std::uint16_t port() const;
     /// @brief Replaces limits and timeouts. A request that is being received keeps its size limits.
@@ -101,15 +113,18 @@
     /// @brief Resumes the sessions that stopped reading because http_handler::may_read() returned false.
     void resume_reading();
     /// @brief Stops accepting and closes each connection once its responses are written.
+    /// @param late what to do with requests that have arrived but are not in progress
     /// @param done called once, when the last connection is closed, or after one second, so that a client that does not
     /// read cannot hold up the stop
-    void finish(std::function<void()> done);
+    void finish(late_requests late, std::function<void()> done);
 
   private:
     friend class http_session;
 
     void accept();
     void add_session(tcp_socket socket);
+    /// Adds the connections that clients have opened but accept() has not returned yet.
+    void accept_pending();
     void retry_accept();
     void sweep();
     void schedule_sweep();
@@ -125,6 +140,7 @@
     std::vector<std::shared_ptr<http_session>> unflushed_;
     std::vector<std::shared_ptr<http_session>> paused_;
     std::function<void()> on_finished_;
+    late_requests late_requests_ = late_requests::dropped;
     time_point finish_deadline_ = never;
     request_id next_request_{1};
     /// Total size of the request bodies that are being received, counted at their announced or maximum size.
--- a/libs/runtime/include/parsleyshift/runtime/http_session.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_session.hpp
@@ -137,6 +137,8 @@
     void on_written(const boost::system::error_code& failure, std::size_t size);
     void output_written();
     [[nodiscard]] std::size_t backlog() const noexcept;
+    /// True when the next request has arrived at least in part.
+    [[nodiscard]] bool has_unread_input() const;
 
     tcp_socket socket_;
     http_server& server_;
--- a/libs/runtime/src/caller_server.cpp
+++ b/libs/runtime/src/caller_server.cpp
@@ -215,7 +215,7 @@
 
 void caller_server::finish(std::function<void()> done)
 {
-    server_.finish(std::move(done));
+    server_.finish(late_requests::dropped, std::move(done));
 }
 
 } // namespace parsleyshift
--- a/libs/runtime/src/http_server.cpp
+++ b/libs/runtime/src/http_server.cpp
@@ -29,6 +29,12 @@
     return boost::outcome_v2::success();
 }
 
+void http_server::stop_listening()
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+}
+
 std::uint16_t http_server::port() const
 {
     return acceptor_.local_endpoint().port();
@@ -84,6 +90,20 @@
     }
 }
 
+void http_server::accept_pending()
+{
+    boost::system::error_code failure;
+    acceptor_.non_blocking(true, failure);
+    while (!failure)
+    {
+        tcp_socket socket = acceptor_.accept(failure);
+        if (!failure)
+        {
+            add_session(std::move(socket));
+        }
+    }
+}
+
 void http_server::retry_accept()
 {
     // The usual cause is that the process is out of descriptors; an immediate retry would loop until one is closed.
@@ -188,10 +208,14 @@
     }
 }
 
-void http_server::finish(std::function<void()> done)
+void http_server::finish(late_requests late, std::function<void()> done)
 {
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
+    late_requests_ = late;
+    if (late == late_requests::answered)
+    {
+        accept_pending();
+    }
+    stop_listening();
     on_finished_ = std::move(done);
     finish_deadline_ = millisecond_clock::now() + finish_timeout;
     const std::vector<std::shared_ptr<http_session>> all(sessions_.begin(), sessions_.end());
--- a/libs/runtime/src/http_session.cpp
+++ b/libs/runtime/src/http_session.cpp
@@ -446,13 +446,23 @@
     read();
 }
 
+bool http_session::has_unread_input() const
+{
+    boost::system::error_code ignored;
+    return parser_ || input_.size() > 0 || socket_.available(ignored) > 0;
+}
+
 void http_session::finish()
 {
     keep_alive_ = false;
     const bool has_output = write_pending_ || !output_.empty();
+    const bool reads_on = server_.late_requests_ == late_requests::answered && has_unread_input();
     if (!in_progress() && !has_output)
     {
-        disconnect();
+        if (!reads_on)
+        {
+            disconnect();
+        }
     }
     else if (state_ == state::reading)
     {
