Let a start wait for what is not ready yet

Seen: the users saw processes that ended by themselves or did not start (FAULT). Their trials: SIGHUP or SIGTERM within 5 ms of the start, a port in use for a second, the former process still draining, settings missing or half written. Cause: handlers of signals were installed with the runtime, after settings and core; an address in use was an error of the settings; settings were read once.

--- a/libs/core/include/parsleyshift/core/error.hpp
+++ b/libs/core/include/parsleyshift/core/error.hpp
@@ -32,6 +32,8 @@
     not_found = 110,
     unsupported_schema = 111,
     file_unreadable = 112,
+    /// Another process listens on the address.
+    address_in_use = 113,
 
     configuration_missing = 201,
     queue_full = 202,
@@ -85,6 +87,8 @@
         error_kind_row{error_kind::unsupported_schema, "unsupported_schema",
                        "publish the record in a schema version that all instances read"},
         error_kind_row{error_kind::file_unreadable, "file_unreadable", "check that the file exists and can be read"},
+        error_kind_row{error_kind::address_in_use, "address_in_use",
+                       "end the process that uses the address, or choose another address"},
         error_kind_row{error_kind::configuration_missing, "configuration_missing",
                        "retry after the instance has received its configuration"},
         error_kind_row{error_kind::queue_full, "queue_full", "retry after the stated time"},
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_runtime.hpp
@@ -14,13 +14,14 @@
 #include <parsleyshift/runtime/metrics.hpp>               // metrics
 #include <parsleyshift/runtime/peer_network.hpp>          // peer_network
 #include <parsleyshift/runtime/settings_file.hpp>         // settings_file
+#include <parsleyshift/runtime/startup_signals.hpp>       // take_startup_signals
 
 #include <boost/asio/post.hpp>       // post
 #include <boost/asio/signal_set.hpp> // signal_set
 
 #include <unistd.h> // STDOUT_FILENO
 
-#include <algorithm> // find_if
+#include <algorithm> // any_of, find_if
 #include <csignal>   // SIGTERM
 #include <cstddef>   // size_t
 #include <deque>     // deque
@@ -92,22 +93,44 @@
     {
     }
 
-    /// @brief Binds the addresses. @return error invalid_field
+    /// @brief Binds the addresses. While another process uses one, tries again for as long as the planned stop of a
+    /// former process of this instance may take, or until a signal asks for a stop.
+    /// @return error invalid_field or address_in_use
     result<void> listen()
     {
-        BOOST_OUTCOME_TRY(forwarder_.listen());
-        BOOST_OUTCOME_TRY(entry_server_.listen());
-        BOOST_OUTCOME_TRY(readiness_server_.listen());
-        BOOST_OUTCOME_TRY(metrics_server_.listen());
-        BOOST_OUTCOME_TRY(peers_.listen());
-        return boost::outcome_v2::success();
+        wait_for_signal();
+        early_signals_ = take_startup_signals();
+        const time_point give_up = millisecond_clock::now() + settings_.stop_grace + listen_margin;
+        auto bound = listen_once();
+        if (is_address_in_use(bound))
+        {
+            log_.write(log_level::warning, log_event::listen_delayed, bound.error().detail);
+            sink_->write_out();
+        }
+        while (is_address_in_use(bound) && !is_stop_requested_early() && millisecond_clock::now() < give_up)
+        {
+            // Runs the handlers of signals; nothing else has been started.
+            context_.run_for(listen_retry_interval);
+            bound = listen_once();
+        }
+        return is_address_in_use(bound) && is_stop_requested_early() ? boost::outcome_v2::success() : bound;
     }
-    /// @brief Serves until a planned stop is complete.
+    /// @brief Serves until a planned stop is complete. Requires a successful listen().
     void run()
     {
+        if (is_stop_requested_early())
+        {
+            log_.write(log_level::info, log_event::stop_finished, "the process exits before it has begun to serve");
+            sink_->write_out();
+            return;
+        }
+        is_running_ = true;
         log_.write(log_level::info, log_event::instance_started,
                    "callers=" + settings_.caller_address + " store=" + settings_.store_address);
-        wait_for_signal();
+        for (const int signal : early_signals_)
+        {
+            on_signal(signal);
+        }
         schedule_settings_check();
         store_reader_.start();
         feed(timer_expired{});
@@ -144,9 +167,45 @@
     /// Bytes per millisecond of a link of 1 Mbit/s.
     static constexpr double bytes_per_ms_and_mbps = 125.0;
     static constexpr duration settings_poll_interval{1'000};
+    static constexpr duration listen_retry_interval{100};
+    /// Time beyond that of a planned stop for which an address in use is tried again.
+    static constexpr duration listen_margin{1'000};
     /// File descriptors kept for endpoints, peers, listeners and files; the others are for callers.
     static constexpr std::int64_t reserved_descriptors = 700;
 
+    static bool is_address_in_use(const result<void>& bound)
+    {
+        return bound.has_error() && bound.error().kind == error_kind::address_in_use;
+    }
+    /// Binds all addresses or none, so that callers are refused meanwhile instead of waiting.
+    result<void> listen_once()
+    {
+        auto bound = listen_all();
+        if (bound.has_error())
+        {
+            forwarder_.server().stop_listening();
+            entry_server_.stop_listening();
+            readiness_server_.stop_listening();
+            metrics_server_.stop_listening();
+        }
+        return bound;
+    }
+    result<void> listen_all()
+    {
+        BOOST_OUTCOME_TRY(forwarder_.listen());
+        BOOST_OUTCOME_TRY(entry_server_.listen());
+        BOOST_OUTCOME_TRY(readiness_server_.listen());
+        BOOST_OUTCOME_TRY(metrics_server_.listen());
+        // Last, since it cannot be undone.
+        BOOST_OUTCOME_TRY(peers_.listen());
+        return boost::outcome_v2::success();
+    }
+    [[nodiscard]] bool is_stop_requested_early() const
+    {
+        return !is_running_ &&
+               std::any_of(early_signals_.begin(), early_signals_.end(), [](int signal) { return signal != SIGHUP; });
+    }
+
     static peer_network_options peer_options(const forwarder_settings& settings, incarnation started)
     {
         peer_network_options options;
@@ -506,18 +565,27 @@
                 {
                     return;
                 }
-                if (signal == SIGHUP)
+                if (is_running_)
                 {
-                    reload(true);
+                    on_signal(signal);
                 }
                 else
                 {
-                    forwarder_.server().close_after_answers();
-                    feed(stop_requested{});
+                    early_signals_.push_back(signal);
                 }
                 wait_for_signal();
             });
     }
+    void on_signal(int signal)
+    {
+        if (signal == SIGHUP)
+        {
+            reload(true);
+            return;
+        }
+        forwarder_.server().close_after_answers();
+        feed(stop_requested{});
+    }
     void schedule_settings_check()
     {
         settings_timer_.expires_after(settings_poll_interval);
@@ -585,6 +653,9 @@
     std::vector<action> actions_;
     forwarding_limits bounds_;
     time_point timer_due_ = never;
+    /// Signals that arrived before run().
+    std::vector<int> early_signals_;
+    bool is_running_ = false;
     bool dispatching_ = false;
     bool flush_posted_ = false;
 };
--- a/libs/messages/include/parsleyshift/messages/action.hpp
+++ b/libs/messages/include/parsleyshift/messages/action.hpp
@@ -275,6 +275,8 @@
     request_failed,
     /// The daemon listens on its addresses.
     instance_started,
+    /// An address is in use; the instance tries again.
+    listen_delayed,
     /// Input from outside the process was malformed or exceeded a limit.
     input_rejected,
     /// A forwarded request was sent to an endpoint.
@@ -320,6 +322,7 @@
         enum_name<log_event>{log_event::stop_finished, "stop_finished"},
         enum_name<log_event>{log_event::request_failed, "request_failed"},
         enum_name<log_event>{log_event::instance_started, "instance_started"},
+        enum_name<log_event>{log_event::listen_delayed, "listen_delayed"},
         enum_name<log_event>{log_event::input_rejected, "input_rejected"},
         enum_name<log_event>{log_event::request_sent, "request_sent"},
         enum_name<log_event>{log_event::run_moving, "run_moving"},
--- a/libs/runtime/src/net.cpp
+++ b/libs/runtime/src/net.cpp
@@ -52,7 +52,10 @@
     }
     if (ec)
     {
-        return make_error(error_kind::invalid_field,
+        const auto kind = ec == asio::error::address_in_use ? error_kind::address_in_use : error_kind::invalid_field;
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
+        return make_error(kind,
                           std::string(field) + ": cannot listen on " + std::string(address) + ": " + ec.message());
     }
     return boost::outcome_v2::success();
