--- a/libs/runtime/include/parsleyshift/runtime/http_server.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_server.hpp
@@ -57,12 +57,12 @@
     virtual void on_connection_refused() {}
 };
 
-/// @brief What http_server::finish() does with requests that have arrived in part or have not been read.
+/// @brief What http_server::finish() does with requests that have not arrived in whole.
 enum class late_requests
 {
     /// Their connections are closed, which tells the clients that the requests were not read.
     dropped,
-    /// They are read and passed to the handler, which must still respond to them.
+    /// Those that arrive shortly after are read and passed to the handler, which must still respond to them.
     answered,
 };
 
@@ -113,7 +113,7 @@
     /// @brief Resumes the sessions that stopped reading because http_handler::may_read() returned false.
     void resume_reading();
     /// @brief Stops accepting and closes each connection once its responses are written.
-    /// @param late what to do with requests that have arrived but are not in progress
+    /// @param late what to do with requests that are not in progress yet
     /// @param done called once, when the last connection is closed, or after one second, so that a client that does not
     /// read cannot hold up the stop
     void finish(late_requests late, std::function<void()> done);
@@ -142,6 +142,7 @@
     std::function<void()> on_finished_;
     late_requests late_requests_ = late_requests::dropped;
     time_point finish_deadline_ = never;
+    time_point late_requests_end_ = never;
     request_id next_request_{1};
     /// Total size of the request bodies that are being received, counted at their announced or maximum size.
     std::size_t reserved_body_bytes_ = 0;
--- a/libs/runtime/include/parsleyshift/runtime/http_session.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_session.hpp
@@ -71,6 +71,8 @@
     void check_timeouts(time_point now);
     /// @brief Closes the connection once the response in progress and the queued output are written.
     void finish();
+    /// @brief Closes the connection if no request has arrived, not even in part.
+    void finish_idle();
     /// @brief Closes the connection at once; a request in progress is reported as disconnected.
     void disconnect();
 
--- a/libs/runtime/src/http_server.cpp
+++ b/libs/runtime/src/http_server.cpp
@@ -12,6 +12,8 @@
 constexpr duration min_sweep_interval{10};
 // Bounds the time of a stop while a client does not read its response.
 constexpr duration finish_timeout{1'000};
+// Requests that clients had sent before they could know of the stop arrive within this time.
+constexpr duration late_request_time{200};
 constexpr duration accept_retry_delay{100};
 } // namespace
 
@@ -135,6 +137,13 @@
     {
         session->check_timeouts(now);
     }
+    if (on_finished_ && now >= late_requests_end_)
+    {
+        for (const auto& session : all)
+        {
+            session->finish_idle();
+        }
+    }
     handler_.batch_done();
     if (on_finished_ && (sessions_.empty() || now > finish_deadline_))
     {
@@ -217,7 +226,9 @@
     }
     stop_listening();
     on_finished_ = std::move(done);
-    finish_deadline_ = millisecond_clock::now() + finish_timeout;
+    const time_point now = millisecond_clock::now();
+    finish_deadline_ = now + finish_timeout;
+    late_requests_end_ = now + (late == late_requests::answered ? late_request_time : duration{});
     const std::vector<std::shared_ptr<http_session>> all(sessions_.begin(), sessions_.end());
     for (const auto& session : all)
     {
--- a/libs/runtime/src/http_session.cpp
+++ b/libs/runtime/src/http_session.cpp
@@ -456,10 +456,9 @@
 {
     keep_alive_ = false;
     const bool has_output = write_pending_ || !output_.empty();
-    const bool reads_on = server_.late_requests_ == late_requests::answered && has_unread_input();
     if (!in_progress() && !has_output)
     {
-        if (!reads_on)
+        if (server_.late_requests_ == late_requests::dropped)
         {
             disconnect();
         }
@@ -492,6 +491,15 @@
     }
 }
 
+void http_session::finish_idle()
+{
+    const bool is_idle = state_ == state::reading && !write_pending_ && output_.empty();
+    if (is_idle && !has_unread_input())
+    {
+        disconnect();
+    }
+}
+
 void http_session::disconnect()
 {
     if (state_ == state::closed)
--- a/libs/runtime/tests/http_server_test.cpp
+++ b/libs/runtime/tests/http_server_test.cpp
@@ -110,13 +110,13 @@
     CHECK(kept.read_answer().ends_with("first"));
     kept.send("POST / HTTP/1.1\r\n");
     server.finish(late_requests::answered);
-    STRCMP_EQUAL("", idle.read_all().c_str());
     begun.send("Length: 4\r\n\r\nlate");
     const std::string answer = begun.read_answer();
     CHECK(answer.ends_with("late"));
     CHECK(answer.find("Connection: close") != std::string::npos);
     kept.send("Host: h\r\nContent-Length: 6\r\n\r\nsecond");
     CHECK(kept.read_answer().ends_with("second"));
+    STRCMP_EQUAL("", idle.read_all().c_str());
     begun.close();
     kept.close();
     CHECK_TRUE(server.has_finished());
