Leave an eighth of the grace for the last answers of a planned stop

After the last answer, the connections of callers that do not close them are kept for up to a second. With a sixteenth of the grace the process would end after the platform's SIGKILL at a grace of 8 s (read, not seen).

--- a/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
+++ b/libs/decision_core/include/parsleyshift/decision_core/core_settings.hpp
@@ -98,7 +98,7 @@
     duration stop_reject_after{4'000};
     /// Time from the start of a planned stop after which the requests that are still in progress are ended with their
     /// final answers; shorter than the time that the platform grants, so that these answers can be written.
-    duration stop_end_after{7'500};
+    duration stop_end_after{7'000};
     /// Time for which callers should cache an entry answer.
     duration entry_ttl{2'000};
     /// Maximum number of addresses in an entry answer.
--- a/libs/forwarding/src/forwarding_runtime.cpp
+++ b/libs/forwarding/src/forwarding_runtime.cpp
@@ -12,8 +12,8 @@
 constexpr duration key_margin{700};
 /// Some callers keep the addresses of an entry response for up to three times the stated time.
 constexpr int entry_keep_factor = 3;
-/// Part of the time for a planned stop in which the last answers are written.
-constexpr int last_answers_divisor = 16;
+/// Part of the time for a planned stop in which the last answers are written and their connections are closed.
+constexpr int last_answers_divisor = 8;
 
 } // namespace
 
