--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>          // count_if
 #include <condition_variable> // condition_variable
+#include <cstddef>            // size_t
 #include <future>             // promise
 #include <latch>              // latch
 #include <map>                // map
@@ -581,7 +582,7 @@
             from.request();
             from.send(stream_head);
             from.send_chunk("id: 1\ndata: a\n\n");
-            const std::string part(64 * 1024, 'x');
+            const std::string part(std::size_t{64} * 1024, 'x');
             for (int count = 0; count < 8; ++count)
             {
                 from.send_chunk(part);
@@ -606,7 +607,7 @@
         [](scripted_server::connection& from)
         {
             from.request();
-            from.send("HTTP/1.1 200 OK\r\nx-id: 5\r\n\r\n" + std::string(9 * 1024 * 1024, 'x'));
+            from.send("HTTP/1.1 200 OK\r\nx-id: 5\r\n\r\n" + std::string(std::size_t{9} * 1024 * 1024, 'x'));
             from.request();
         });
     running_forwarder forwarder(simple_core(endpoint.address(), route_kind::once));
--- a/libs/runtime/src/startup_signals.cpp
+++ b/libs/runtime/src/startup_signals.cpp
@@ -10,7 +10,7 @@
 
 struct held_signal
 {
-    int number;
+    int number = 0;
     volatile std::sig_atomic_t is_pending = 0;
 };
 
