Read late requests also on connections whose last answer is being written

Cause: finish() took a connection whose answer had been written, but whose write had not been reported yet, for one that is closing, and discarded the request that followed; the end of that write closed it as well. Change: with late requests answered, finish() leaves connections to finish_idle(), after the time for late requests. In a planned stop the fault showed little: answers there close their connections.

--- a/libs/runtime/src/http_session.cpp
+++ b/libs/runtime/src/http_session.cpp
@@ -437,7 +437,7 @@
         read();
         return;
     }
-    if (server_.on_finished_ && !in_progress())
+    if (server_.on_finished_ && !in_progress() && server_.late_requests_ == late_requests::dropped)
     {
         disconnect();
         return;
@@ -455,13 +455,15 @@
 void http_session::finish()
 {
     keep_alive_ = false;
+    if (server_.late_requests_ == late_requests::answered)
+    {
+        // finish_idle() follows once late requests have had time to arrive.
+        return;
+    }
     const bool has_output = write_pending_ || !output_.empty();
     if (!in_progress() && !has_output)
     {
-        if (server_.late_requests_ == late_requests::dropped)
-        {
-            disconnect();
-        }
+        disconnect();
     }
     else if (state_ == state::reading)
     {
