--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import struct
@@ -37,10 +38,21 @@
 ANONYMOUS = "allow_" "anonymous"
 
 
+handed_out = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free port below those that the system gives to outgoing connections, and each port once only."""
+    while True:
+        port = random.randrange(12_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in handed_out:
+            handed_out.add(port)
+            return port
 
 
 def free_address():
@@ -315,13 +327,18 @@
 
 
 class Proxy:
-    """The network path from one machine to one endpoint. cut() resets its connections and refuses new ones."""
+    """The network path from one machine to one endpoint.
+
+    cut() resets its connections and refuses new ones. While `open` is cleared, nothing passes and new ones get no answer.
+    """
 
     def __init__(self, target):
         self.address = free_address()
         self.target = target
         self.server = None
         self.writers = set()
+        self.open = asyncio.Event()
+        self.open.set()
 
     async def listen(self):
         self.server = await asyncio.start_server(self.serve, *split(self.address))
@@ -342,8 +359,10 @@
         async def copy(source, sink):
             try:
                 while data := await source.read(65536):
+                    await self.open.wait()
                     sink.write(data)
                     await sink.drain()
+                await self.open.wait()
                 if sink.can_write_eof():
                     sink.write_eof()
             except (ConnectionError, OSError):
