--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,109 +1,85 @@
-"""An endpoint that answers without a length crashes while it writes the body of its answer."""
+"""A machine that is partitioned from all endpoints passes orders on; the endpoint's answer is a refusal of its own."""
 import asyncio
-import os
 import pathlib
-import signal
 import sys
+from collections import Counter
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common-2"))
 import harness as h  # noqa: E402
 
-ZONES = [("zone-a", "west")]
-BODY = b"".join(b"pitch %03d: line plan, width, length\n" % line for line in range(100))
-PIECES = 10
-PIECE_S = 0.03
+ZONES = [("zone-a", "west"), ("zone-b", "east")]
+ORDERS = 12
 
 
-async def look_up(endpoint, request, writer):
-    """Writes the answer in pieces, and closes the connection at its end, which alone marks the end of the body."""
+async def book(endpoint, request, writer):
+    """Works on the order and reports a conflict, as a booking service does when the day is already taken."""
     endpoint.run(request)
-    head = (f"HTTP/1.1 200 OK\r\n{h.ID}: {request.header(h.ID)}\r\n{h.STAMP}: stamp-{request.header(h.ID)}\r\n"
-            "Connection: close\r\n\r\n")
-    writer.write(head.encode())
-    size = len(BODY) // PIECES
-    for start in range(0, len(BODY), size):
-        await asyncio.sleep(PIECE_S)
-        writer.write(BODY[start:start + size])
-        await writer.drain()
-    return False
-
-
-async def serve(name, address, service):
-    """The endpoint is a process of its own, so that it can be killed."""
-    record = h.Record(os.environ["ENDPOINT_FOLDER"])
-    await h.Endpoint(record, name, service, address, look_up).listen()
-    await asyncio.sleep(3600)
-
-
-async def start_endpoint(scratch, name, address):
-    folder = scratch / name
-    folder.mkdir(exist_ok=True)
-    environment = {**os.environ, "ENDPOINT_FOLDER": str(folder)}
-    return await asyncio.create_subprocess_exec(sys.executable, __file__, "serve", name, address, "yard-desk",
-                                                env=environment)
+    await asyncio.sleep(0.06)
+    writer.write(h.response(409, b"the crew is booked on that day\n", [(h.ID, request.header(h.ID))], "Conflict"))
 
 
 async def scenario(record, scratch, trouble):
     store = h.Store()
-    address = h.free_address()
-    names = ["i-0", "i-1", "i-2"]
-    addresses = {name: h.free_address() for name in names}
-    processes = {name: await start_endpoint(scratch, name, addresses[name]) for name in names}
-    for name in names:
-        store.put(h.ENDPOINT_PREFIX + name, h.Endpoint(record, name, "yard-desk", addresses[name], None).entry())
+    endpoints = [h.Endpoint(record, f"i-{n}", "yard-desk", h.free_address(), book, zone)
+                 for n, zone in enumerate(["zone-a", "zone-b", "zone-b"])]
+    paths = {}
+    for endpoint in endpoints:
+        await endpoint.listen()
+        paths[endpoint.address] = h.Proxy(endpoint.address)
+        await paths[endpoint.address].listen()
+        store.put(h.ENDPOINT_PREFIX + endpoint.name, endpoint.entry())
     store.put(h.CONFIG_KEY, h.configuration(
-        7, [h.route("r-1", "/pitches/", "idempotent", "yard-desk", 6000, 400, attempts=2)], [h.service("yard-desk")]))
-    await store.listen(address)
-    machine = h.Machine(record, scratch, "m-1", "zone-a", ZONES, address)
-    machine.settings["seeds"] = [machine.peer]
-    whole = cut = failed = 0
-    try:
-        await machine.start()
-        await machine.wait_until_ready()
-        await asyncio.sleep(1)
+        7, [h.route("r-1", "/orders/", "non_idempotent", "yard-desk", 6000, 400)], [h.service("yard-desk")]))
 
-        async def look_up_pitch():
-            nonlocal whole, cut, failed
-            identifier, fields = h.caller_fields()
-            answer = await h.call(machine.caller, "GET", "/pitches/2f", fields)
-            is_success = answer.status == 200 and answer.complete
-            whole += is_success and answer.body == BODY
-            failed += not is_success
-            if is_success and answer.body != BODY:
-                cut += 1
-                record.line(f"id={identifier}: {answer}, length field {answer.headers.get('content-length')}, but the "
-                            f"endpoint's whole body has {len(BODY)} bytes")
+    # The machine of the first region reaches the endpoints through proxies, its network path to them.
+    west, east = h.free_address(), h.free_address()
 
-        async def traffic():
-            tasks = []
-            for _ in range(120):
-                tasks.append(asyncio.create_task(look_up_pitch()))
-                await asyncio.sleep(0.05)
-            await asyncio.gather(*tasks)
+    def through_proxies(_, value):
+        for address, path in paths.items():
+            value = value.replace(address.encode(), path.address.encode())
+        return value
 
-        load = asyncio.create_task(traffic())
-        await asyncio.sleep(2)
+    store.view[west] = through_proxies
+    await store.listen(west)
+    await store.listen(east)
+    machines = [h.Machine(record, scratch, "m-1", "zone-a", ZONES, west),
+                h.Machine(record, scratch, "m-2", "zone-b", ZONES, east),
+                h.Machine(record, scratch, "m-3", "zone-b", ZONES, east)]
+    for machine in machines:
+        machine.settings["seeds"] = [each.peer for each in machines]
+    try:
+        for machine in machines:
+            await machine.start()
+        for machine in machines:
+            await machine.wait_until_ready()
+        await asyncio.sleep(3)
         if trouble:
-            record.line("endpoint i-0 crashes (SIGKILL)")
-            processes["i-0"].send_signal(signal.SIGKILL)
-            await processes["i-0"].wait()
-            await asyncio.sleep(3)
-            await store.drop(h.ENDPOINT_PREFIX + "i-0")
-        await load
+            record.line("m-1 is partitioned from all endpoints from now on")
+            for path in paths.values():
+                await path.cut()
+            await asyncio.sleep(1)
+        answers = {}
+
+        async def order():
+            identifier, fields = h.caller_fields()
+            answer = await h.call(machines[0].caller, "POST", "/orders/2f", fields, b"pitch 4, Saturday")
+            answers[identifier] = answer
+            record.line(f"caller got {answer} for id={identifier}")
+
+        for _ in range(ORDERS):
+            await order()
+            await asyncio.sleep(0.3)
     finally:
-        await machine.stop()
-        for process in processes.values():
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-    record.line(f"answers: {whole} whole, {cut} cut off but complete in form, {failed} failures")
-    if not whole:
-        raise h.CannotRun("no request was served")
-    return cut == 0
+        for machine in machines:
+            await machine.stop()
+    runs = Counter(identifier for endpoint in endpoints for _, identifier in endpoint.runs)
+    twice = [identifier for identifier, count in runs.items() if count > 1]
+    denied = [identifier for identifier, answer in answers.items() if answer.status == 503 and runs[identifier]]
+    record.line(f"orders that ran more than once: {len(twice)} of {ORDERS}; answered 503 though they ran: {len(denied)}")
+    if not runs:
+        raise h.CannotRun("no order has run")
+    return not twice
 
 
-if len(sys.argv) > 1 and sys.argv[1] == "serve":
-    asyncio.run(serve(*sys.argv[2:]))
-else:
-    h.main(HERE, scenario)
+h.main(HERE, scenario)
