--- a/review/8/case.py
+++ b/review/8/case.py
@@ -76,7 +76,7 @@
         killed = idle[-1]
         other = next(machine for machine in machines if machine is not killed)
         record.line(f"{killed.name} schedules nothing; callers of {other.name} take all slots")
-        tasks += [asyncio.create_task(ask(other, "plan-writers", 24 + 4 * n)) for n in range(2)]
+        tasks += [asyncio.create_task(ask(other, "plan-writers", 24 + 12 * n)) for n in range(2)]
         tasks += [asyncio.create_task(ask(other, "letter-writers", 60)) for _ in range(2 * SLOTS)]
         await asyncio.sleep(0.5)
         tasks += [asyncio.create_task(ask(killed, "plan-writers", 5, 0.01 * n)) for n in range(WAITING)]
