Cancel the delayed request for a permit when a request is passed on

Requests that were passed on to another instance while their own had lost its links started a second time when the links were back, with the caller's key and without an engine's name.

Cause: after a declined permit, permit_holder waits for a delay before it requests another one. In this state it neither waits nor holds a permit, so release() left the timer valid. The timer fired while another instance ran the request, and the permit that followed started an attempt beside the one in progress.

Evidence: passed_on_requests.do_not_start_a_second_time, before the change: LONGS_EQUAL(1, core.start_count(stream)) failed, expected <1>, but was <2>

Ruled out: a permit on its way when the links are lost (returned, as the holder does not wait), and the request's own backoff (its timer has no effect during an attempt).

Change: release() begins a new step, which makes all timers of the former wait invalid. forwarded_request asks for this before it acts on a timer at all; before, a stale one could also reject a request that another instance ran, for an evacuation or a pause.

--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -386,7 +386,7 @@
 
 void forwarded_request::on_permit_timer(const core_timer& due)
 {
-    if (!permit_)
+    if (!permit_ || !permit_->is_current(due))
     {
         return;
     }
@@ -399,7 +399,7 @@
         return;
     }
     const bool needs_permit = permit_->waiting() || due.kind == timer_kind::retry_due;
-    if (needs_permit && !permit_->permit() && (reject_if_evacuated() || reject_if_all_pause()))
+    if (needs_permit && (reject_if_evacuated() || reject_if_all_pause()))
     {
         return;
     }
--- a/libs/decision_core/src/permit_holder.cpp
+++ b/libs/decision_core/src/permit_holder.cpp
@@ -43,7 +43,7 @@
 
 bool permit_holder::is_unanswered(const core_timer& due) const
 {
-    return due.kind == timer_kind::permit_reply_due && due.step == step_ && waiting_ && !queued_at_scheduler_;
+    return due.kind == timer_kind::permit_reply_due && is_current(due) && waiting_ && !queued_at_scheduler_;
 }
 
 void permit_holder::send_request()
@@ -61,7 +61,7 @@
 
 std::optional<permit_grant> permit_holder::on_timer(const core_timer& due)
 {
-    if (due.step != step_ || permit_)
+    if (!is_current(due))
     {
         return std::nullopt;
     }
@@ -193,6 +193,8 @@
         state_.send(pools_.scheduler_instance_of(pool_), permit_withdrawal{pool_, work_.request});
     }
     waiting_ = false;
+    // A declined permit is requested again by a timer while the holder does not wait.
+    ++step_;
 }
 
 std::int64_t permit_holder::expected_memory() const
--- a/libs/decision_core/src/permit_holder.hpp
+++ b/libs/decision_core/src/permit_holder.hpp
@@ -39,9 +39,15 @@
     {
         work_.regions = regions;
     }
+    /// @brief True if a permit_reply_due or retry_due timer belongs to the current wait. Each request for a permit and
+    /// each release() begin a new one.
+    [[nodiscard]] bool is_current(const core_timer& due) const
+    {
+        return due.step == step_ && !permit_;
+    }
     /// @brief True if the timer is due and the scheduler has neither queued nor decided the latest request.
     [[nodiscard]] bool is_unanswered(const core_timer& due) const;
-    /// @brief Handles a permit_reply_due or retry_due timer; timers of an older step are ignored.
+    /// @brief Handles a permit_reply_due or retry_due timer, if it is current.
     /// @return a permit from this instance's local share (see pool_manager) when no scheduler has answered, to be
     /// passed to accept()
     std::optional<permit_grant> on_timer(const core_timer& due);
@@ -65,7 +71,7 @@
     /// permit.
     /// @param tokens output so far
     void renew(std::int64_t tokens, const stream_timing& timing);
-    /// @brief Returns the permit, or withdraws the request for one.
+    /// @brief Returns the permit, or withdraws the request for one, also one that would have been made after a delay.
     /// @param tokens output so far
     /// @param completed the output ended regularly, so that the scheduler may record its length
     void release(std::int64_t tokens, bool completed);
