Number the requests of each process differently

Cause: http_server numbered requests from 1 in each process, and peers name a request by the instance and this number. What a scheduler still sent for the killed process therefore named a request of its successor. Found by reading: in parsleyshiftd the result of an order that the killed process had forwarded (order_reply) would have been taken for that of another order.

Evidence: http_server.numbers_its_requests_differently_after_a_restart, before the change: CHECK(before != after) failed

Change: a server draws its first number from 2^62. Numbers above 2^63 stay those of order_manager.

Ruled out: permit and attempt numbers, which are random or have a random prefix. Peers need no change, so that old and new builds mix.

--- a/libs/core/include/parsleyshift/core/ids.hpp
+++ b/libs/core/include/parsleyshift/core/ids.hpp
@@ -19,7 +19,7 @@
 /// Pool of endpoints of one service; one scheduler grants the permits for it.
 using pool_id = strong_name<struct pool_tag>;
 
-/// Request of a caller; unique within the instance that accepted it.
+/// Request of a caller; unique within the instance that accepted it, over all its incarnations.
 using request_id = strong_number<struct request_tag>;
 /// One attempt to execute a request at an endpoint; unique across all instances and incarnations.
 using attempt_id = strong_number<struct attempt_tag>;
--- a/libs/runtime/include/parsleyshift/runtime/http_server.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_server.hpp
@@ -106,7 +106,8 @@
     /// @brief Makes every response that ends from now on close its connection.
     void close_after_answers();
 
-    /// @brief Assigns an id to the request of a session; find() returns the session under it until the response ends.
+    /// @brief Assigns an id to the request of a session, which no earlier process has used; find() returns the session
+    /// under it until the response ends.
     request_id register_request(const std::shared_ptr<http_session>& session);
     /// @brief Returns the session of a request in progress, or nullptr when there is none. Constant time.
     [[nodiscard]] std::shared_ptr<http_session> find(request_id request) const;
@@ -149,7 +150,7 @@
     late_requests late_requests_ = late_requests::dropped;
     time_point finish_deadline_ = never;
     time_point late_requests_end_ = never;
-    request_id next_request_{1};
+    request_id next_request_;
     /// Total size of the request bodies that are being received, counted at their announced or maximum size.
     std::size_t reserved_body_bytes_ = 0;
     bool close_after_responses_ = false;
--- a/libs/runtime/src/http_server.cpp
+++ b/libs/runtime/src/http_server.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/post.hpp> // post
 
 #include <algorithm> // clamp, min
+#include <cstdint>   // uint64_t
+#include <random>    // random_device, uniform_int_distribution
 #include <utility>   // exchange, move
 
 namespace parsleyshift
@@ -17,10 +19,25 @@
 // Requests that clients had sent before they could know of the stop arrive within this time.
 constexpr duration late_request_time{200};
 constexpr duration accept_retry_delay{100};
+/// Leaves the upper half of the numbers to the orders of order_manager, and room to count on.
+constexpr std::uint64_t max_first_request = std::uint64_t{1} << 62U;
+
+/// Draws the number of a server's first request. Peers name the requests of an instance by number, and may still do so
+/// when its process has ended, so that the next process must use other numbers.
+request_id draw_first_request()
+{
+    std::random_device device;
+    return request_id{std::uniform_int_distribution<std::uint64_t>{1, max_first_request}(device)};
+}
 } // namespace
 
 http_server::http_server(asio::io_context& context, http_server_options options, http_handler& handler)
-    : options_(std::move(options)), handler_(handler), context_(context), acceptor_(context), sweep_timer_(context)
+    : options_(std::move(options)),
+      handler_(handler),
+      context_(context),
+      acceptor_(context),
+      sweep_timer_(context),
+      next_request_(draw_first_request())
 {
     if (options_.budget != nullptr)
     {
--- a/libs/runtime/tests/http_server_test.cpp
+++ b/libs/runtime/tests/http_server_test.cpp
@@ -127,10 +127,58 @@
     std::thread thread_;
 };
 
+/// Registers each request before it is answered.
+class registering_handler final : public http_handler
+{
+  public:
+    http_server* server = nullptr;
+    request_id registered;
+
+  private:
+    void on_request(const std::shared_ptr<http_session>& session, parsleyshift::http_request&& /*request*/) override
+    {
+        registered = server->register_request(session);
+        session->answer(200, "text/plain", "ok");
+        session->flush();
+    }
+    void on_malformed(http_session& /*session*/, const error& /*why*/, unsigned /*status*/) override {}
+    void on_disconnected(request_id /*request*/) override {}
+    void on_stalled(request_id /*request*/, bool /*stalled*/) override {}
+};
+
+/// Number of the first request that a new server gets.
+request_id first_request_of_new_server()
+{
+    asio::io_context context{1};
+    registering_handler handler;
+    http_server server(context, running_server::test_options(), handler);
+    handler.server = &server;
+    if (server.listen().has_error())
+    {
+        return request_id{};
+    }
+    std::thread thread([&context] { context.run(); });
+    client caller(server.port());
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    caller.read_answer();
+    context.stop();
+    thread.join();
+    return handler.registered;
+}
+
 } // namespace
 
 TEST_GROUP(http_server){};
 
+// Guards against messages of peers about requests of a killed process that its successor takes for its own.
+TEST(http_server, numbers_its_requests_differently_after_a_restart)
+{
+    const request_id before = first_request_of_new_server();
+    const request_id after = first_request_of_new_server();
+    CHECK(before != request_id{} && after != request_id{});
+    CHECK(before != after);
+}
+
 // Guards against a request that is read in part, or waits unread, and ends without an answer when the server finishes.
 TEST(http_server, answers_requests_that_have_arrived_when_it_finishes)
 {
