Pass on no unproven promise that an order did not run

Callers would see 408, 429 or 503, which promise that their order has not run and will not, from an endpoint that gives no proof of it and may have run the order.

Cause: only the next attempt asked for the proof. The answer went to the caller unchanged, whatever its status.

Evidence: forwarder.passes_on_no_unproven_promise_that_an_order_did_not_run, before the change: 503 for an order.

Change: such an answer fails the attempt of an order or a stream, whose outcome is then unknown, and the caller gets 502. What the endpoint states about itself, a pause for example, is read as before. Idempotent requests get the answer unchanged.

Ruled out: a second attempt, since a failure after the request was sent allows none for these routes.

--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -15,7 +15,7 @@
 #include <functional>    // function
 #include <memory>        // make_shared, shared_ptr
 #include <optional>      // nullopt, optional
-#include <string>        // string
+#include <string>        // string, to_string
 #include <string_view>   // string_view
 #include <unordered_map> // unordered_map
 #include <utility>       // exchange, move
@@ -297,6 +297,13 @@
             fail(*evaluation_.not_run_reason, "the endpoint rejected the request without running it");
             return;
         }
+        if (evaluation_.claims_not_run && start_.kind != route_kind::idempotent)
+        {
+            // The caller would send the request again, which may have run.
+            fail(attempt_failure::endpoint_error, "the endpoint answered " + std::to_string(head_.result_int()) +
+                                                      " without stating that it did not run the request");
+            return;
+        }
         if (streaming_)
         {
             forward_events(body);
--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -312,6 +312,26 @@
     STRCMP_EQUAL("503", status_of(other.read_answer()).c_str());
 }
 
+// Guards against an endpoint's status that promises the caller of an order that it did not run, without a proof.
+TEST(forwarder, passes_on_no_unproven_promise_that_an_order_did_not_run)
+{
+    scripted_server endpoint(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.send("HTTP/1.1 503 Unavailable\r\nx-id: 5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        });
+    for (const route_kind kind : {route_kind::once, route_kind::stream, route_kind::idempotent})
+    {
+        running_forwarder forwarder(simple_core(endpoint.address(), kind));
+        client caller(forwarder.port());
+        caller.send(request_text_of_caller);
+        const bool repeatable = kind == route_kind::idempotent;
+        STRCMP_EQUAL(repeatable ? "503" : "502", status_of(caller.read_answer()).c_str());
+        LONGS_EQUAL(repeatable ? 0 : 1, forwarder.count<attempt_failed>());
+    }
+}
+
 // Guards against a request that is sent although its endpoint must not get it any more once the connection stands.
 TEST(forwarder, does_not_write_a_request_that_must_not_be_sent)
 {
--- a/libs/forwarding/tests/small_protocol.hpp
+++ b/libs/forwarding/tests/small_protocol.hpp
@@ -61,6 +61,7 @@
         {
             evaluation.not_run_reason = attempt_failure::not_started;
         }
+        evaluation.claims_not_run = head.result_int() == 503;
         evaluation.matches_request = evaluation.names_request || (!has_id && evaluation.not_run_reason);
         evaluation.statement = read_statement(head);
         return evaluation;
