Bound the size of responses that are dropped

Callers of an endpoint that sends a response to another request without end, on a connection that has been in use, got 504 at their deadline. Until then the instance read at the rate of the link, to the cost of all others there.

Cause: a late copy of an earlier response is dropped and the next one awaited; four were allowed, of any size. No memory grew.

Evidence: http_client.ends_a_response_to_another_request_without_end, before the change: CHECK(sink->failure == attempt_failure::endpoint_error) failed (the exchange did not end)

Change: the responses that one exchange drops may have 8 MiB together, the size of the largest response that is passed on.

--- a/libs/runtime/src/http_exchange.cpp
+++ b/libs/runtime/src/http_exchange.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>   // copy, max, min
 #include <charconv>    // from_chars
 #include <chrono>      // seconds
+#include <cstddef>     // size_t
 #include <optional>    // optional
 #include <string_view> // string_view
 #include <utility>     // move
@@ -30,6 +31,8 @@
 constexpr std::string_view timeout_parameter = "timeout=";
 /// Responses to other requests that are dropped before an exchange fails.
 constexpr int max_skipped_responses = 4;
+/// Total size of their bodies, that of the largest response which an instance passes on.
+constexpr std::size_t max_skipped_bytes = std::size_t{8} * 1024 * 1024;
 
 /// Returns the timeout parameter of a Keep-Alive field, limited to one day, or nothing when it is missing or invalid.
 std::optional<duration> announced_idle_time(std::string_view keep_alive)
@@ -381,6 +384,12 @@
     if (skipping_)
     {
         parser_->get().body().clear();
+        skipped_bytes_ += consumed;
+        if (skipped_bytes_ > max_skipped_bytes)
+        {
+            fail(attempt_failure::endpoint_error, "the responses to other requests are too large");
+            return false;
+        }
         return consumed > 0 && !failure;
     }
     if (!ended_ && head_reported_ && !parser_->get().body().empty() && !sink->on_body(parser_->get().body()))
--- a/libs/runtime/src/http_exchange.hpp
+++ b/libs/runtime/src/http_exchange.hpp
@@ -105,6 +105,7 @@
     /// The response that is being read belongs to another request.
     bool skipping_ = false;
     int skipped_responses_ = 0;
+    std::size_t skipped_bytes_ = 0;
     bool ended_ = false;
 };
 
--- a/libs/runtime/tests/http_client_test.cpp
+++ b/libs/runtime/tests/http_client_test.cpp
@@ -4,9 +4,12 @@
 
 #include <parsleyshift/runtime/http_client.hpp> // http_client
 
-#include <cstddef>  // size_t
-#include <optional> // optional
-#include <string>   // string
+#include <cstddef>    // size_t
+#include <functional> // function
+#include <memory>     // make_shared
+#include <optional>   // optional
+#include <string>     // string
+#include <utility>    // move
 
 using namespace parsleyshift;
 using namespace parsleyshift::literals;
@@ -39,6 +42,36 @@
     return result ? *result : http_result{http_failure{attempt_failure::link_broken, "the exchange did not end"}};
 }
 
+/// Takes each response for one to another request.
+class skipping_sink final : public exchange_sink
+{
+  public:
+    explicit skipping_sink(std::function<void()> ended) : ended_(std::move(ended)) {}
+
+    std::optional<attempt_failure> failure;
+
+  private:
+    head_verdict on_head(const response_head& /*head*/, bool /*reused_connection*/) override
+    {
+        return head_verdict::skip;
+    }
+    bool on_body(std::string& /*body*/) override
+    {
+        return false;
+    }
+    void on_done(std::string& /*body*/, answer_end /*end*/) override
+    {
+        ended_();
+    }
+    void on_failed(attempt_failure reason, std::string /*message*/) override
+    {
+        failure = reason;
+        ended_();
+    }
+
+    std::function<void()> ended_;
+};
+
 bool contains(const std::string& text, const std::string& part)
 {
     return text.find(part) != std::string::npos;
@@ -137,6 +170,31 @@
     CHECK(result.error().received_bytes <= limit);
 }
 
+// Guards against a response to another request that never ends and is read for as long as the own one may take.
+TEST(http_client, ends_a_response_to_another_request_without_end)
+{
+    const scripted_server server(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.begin_chunked();
+            for (int each = 0; each < endless_repetitions; ++each)
+            {
+                from.send_chunk(std::string(1'000, 'x'));
+            }
+            from.request();
+        });
+    asio::io_context context{1};
+    http_client client(context, {});
+    const auto sink = std::make_shared<skipping_sink>([&context] { context.stop(); });
+    http_call call;
+    call.address = server.address();
+    call.text = request_text("GET", "/", call.address, {});
+    client.start(std::move(call), sink);
+    context.run_for(safety_timeout);
+    CHECK(sink->failure == attempt_failure::endpoint_error);
+}
+
 // Guards against a response whose end is not certain: the rest of it would be taken for the next response.
 TEST(http_client, fails_on_a_response_whose_body_has_no_certain_end)
 {
