--- a/libs/runtime/src/http_exchange.cpp
+++ b/libs/runtime/src/http_exchange.cpp
@@ -31,7 +31,7 @@
 constexpr std::string_view timeout_parameter = "timeout=";
 /// Responses to other requests that are dropped before an exchange fails.
 constexpr int max_skipped_responses = 4;
-/// Total size of their bodies, that of the largest response which an instance passes on.
+/// Their total size, that of the largest response which an instance passes on.
 constexpr std::size_t max_skipped_bytes = std::size_t{8} * 1024 * 1024;
 
 /// Returns the timeout parameter of a Keep-Alive field, limited to one day, or nothing when it is missing or invalid.
