Number the pulls of each process differently

An instance that was killed and started again could take its reader's answer to a pull of the killed process for the answer to its own pull of the same number. The copy is confirmed as of the time at which the own pull was sent, less the age of the read: with an older answer that is too late by the time between the two pulls, and so is the end of the lease of keys. An answer that names only the changes since the killed process's copy could count as a whole listing.

Cause: pulls were numbered from 1 in each process, and readers answer by the address and this number.

Evidence: source_relay.takes_no_answer_to_a_pull_of_an_earlier_process, with the seed not yet in use: CHECK(successor.handle_answer(...) == source_relay::answer_result::ignored) failed

Change: the first number is drawn from the seed of the process.

Ruled out: sequence numbers of probes, whose late acknowledgement only shows a living peer; loans, which name the receiver's incarnation.

--- a/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/source_relay.hpp
@@ -3,6 +3,7 @@
 #include <parsleyshift/configuration/store_watch.hpp> // store_watch
 #include <parsleyshift/core/clock.hpp>                // duration, time_point
 #include <parsleyshift/core/ids.hpp>                  // instance_id
+#include <parsleyshift/core/random_source.hpp>        // random_source
 #include <parsleyshift/messages/peer.hpp>             // source_pull, source_answer
 
 #include <cstddef>  // size_t
@@ -106,7 +107,10 @@
     };
 
     /// @param watch local copy of the store; must outlive this object
-    explicit source_relay(store_watch& watch, source_relay_settings settings = {}) : watch_(watch), settings_(settings)
+    /// @param seed of the first pull's number; must differ between the processes of an instance, because readers may
+    /// answer a pull when the process that sent it has ended
+    explicit source_relay(store_watch& watch, source_relay_settings settings = {}, std::uint64_t seed = 0)
+        : watch_(watch), settings_(settings), last_pull_number_(random_source{seed}.bits())
     {
     }
 
@@ -232,7 +236,7 @@
     store_watch& watch_;
     source_relay_settings settings_;
     std::optional<sent_pull> pull_in_progress_;
-    std::uint64_t last_pull_number_ = 0;
+    std::uint64_t last_pull_number_;
     std::vector<avoided_reader> avoided_;
     bool skip_watch_wait_ = false;
     /// The last read of the store failed, and no reader of a higher rank has confirmed the copy since.
--- a/libs/configuration/tests/source_relay_test.cpp
+++ b/libs/configuration/tests/source_relay_test.cpp
@@ -115,6 +115,21 @@
     }
 };
 
+// Guards against the answer to a pull of a killed process that confirms the copy of its successor as of a later time.
+TEST(source_relay, takes_no_answer_to_a_pull_of_an_earlier_process)
+{
+    list_both();
+    source_relay killed{follower_watch, {}, 1};
+    source_relay successor{follower_watch, {}, 2};
+    CHECK(reader_relay.handle_pull(follower, killed.next_pull(only_reader, now)->pull, now).empty());
+    read_store(reader_watch);
+    const auto late = reader_relay.take_pending_answers(true, now);
+    LONGS_EQUAL(1, late.size());
+    now += 500_ms;
+    CHECK(successor.next_pull(only_reader, now).has_value());
+    CHECK(successor.handle_answer(reader, late[0].answer, now) == source_relay::answer_result::ignored);
+}
+
 // Guards against a follower that accepts a key for longer than the last confirmed read allows: the answer may be
 // delayed anywhere, so the age that the read had when the pull arrived must be subtracted from the time at which the
 // pull was sent.
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -55,14 +55,14 @@
     };
 
     /// @param address "ip:port" of the store
-    /// @param seed of the random delays between retries
+    /// @param seed of the random delays between retries and of the numbers of pulls
     /// @param link_rate rate of this instance's link in bytes per millisecond
     store_reader(asio::io_context& context, std::string address, const P& protocol, std::uint64_t seed,
                  double link_rate, callbacks functions)
         : address_(std::move(address)),
           protocol_(protocol),
           watch_(watch_settings(link_rate), seed),
-          relay_(watch_, relay_settings(link_rate)),
+          relay_(watch_, relay_settings(link_rate), seed),
           callbacks_(std::move(functions)),
           client_(context, client_options(callbacks_.batch_done)),
           retry_timer_(context),
