--- a/libs/decision_core/tests/permit_holder_test.cpp
+++ b/libs/decision_core/tests/permit_holder_test.cpp
@@ -23,15 +23,7 @@
         core.configure();
         for (int peer = 1; peer <= 8; ++peer)
         {
-            member_update update;
-            update.instance = instance_id{"p" + std::to_string(peer)};
-            update.started = incarnation{1};
-            update.address = "10.1.0.1:80";
-            update.peer_address = "10.1.0.1:81";
-            update.region = region_id{"r"};
-            update.state = member_state::alive;
-            core.feed(peer_received{
-                {update.instance, update.started, update.peer_address, revision{}, member_updates{{update}}}});
+            core.receive_member_update("p" + std::to_string(peer), region_id{"r"}, member_state::alive, "10.1.0.1:80");
         }
     }
     /// Lets an attempt fail and leaves the probes that follow without a result.
--- a/libs/decision_core/tests/single_core.hpp
+++ b/libs/decision_core/tests/single_core.hpp
@@ -198,9 +198,12 @@
             {instance_id{peer}, incarnation{1}, "10.1.0.1:81", revision{version}, permit_queued{request_id{0}}}});
     }
     /// @brief Receives a message from a peer that announces its own membership state.
-    void receive_member_update(const std::string& peer, const region_id& region, member_state state)
+    /// @param address address for callers; empty if the peer takes no requests
+    void receive_member_update(const std::string& peer, const region_id& region, member_state state,
+                               const std::string& address = {})
     {
         member_update update;
+        update.address = address;
         update.instance = instance_id{peer};
         update.started = incarnation{1};
         update.peer_address = "10.1.0.1:81";
--- a/libs/runtime/tests/http_client_test.cpp
+++ b/libs/runtime/tests/http_client_test.cpp
@@ -22,6 +22,15 @@
 /// More than any limit below, so that only a limit can end the exchange.
 constexpr int endless_repetitions = 10'000;
 
+void send_endless_chunks(scripted_server::connection& to)
+{
+    to.begin_chunked();
+    for (int each = 0; each < endless_repetitions; ++each)
+    {
+        to.send_chunk(std::string(1'000, 'x'));
+    }
+}
+
 /// Sends one request to a server and returns the result.
 http_result response_of(const scripted_server& server, http_call call)
 {
@@ -156,11 +165,7 @@
         [](scripted_server::connection& from)
         {
             from.request();
-            from.begin_chunked();
-            for (int each = 0; each < endless_repetitions; ++each)
-            {
-                from.send_chunk(std::string(1'000, 'x'));
-            }
+            send_endless_chunks(from);
         });
     http_call call;
     constexpr std::size_t limit = 50'000;
@@ -177,11 +182,7 @@
         [](scripted_server::connection& from)
         {
             from.request();
-            from.begin_chunked();
-            for (int each = 0; each < endless_repetitions; ++each)
-            {
-                from.send_chunk(std::string(1'000, 'x'));
-            }
+            send_endless_chunks(from);
             from.request();
         });
     asio::io_context context{1};
