Reject responses with an invalid status

Its answers counted as successes and came at once, so that it got half of all requests and more, and was never ejected.

Cause: the parser takes any three digits for a status. The translation of answers knows success and faults of the server; anything else, also a status of no class, was the answer of an endpoint that reports a failure, meant for the caller.

Change: the client of all servers (http_exchange) rejects a status outside 100 to 599 (RFC 9110, section 15) once the head is complete, like a body without a certain end: the connection is closed, and the attempt fails with endpoint_error. This covers forwarded requests, those passed on to other instances, health checks, load reports, reads of the store, copies of runs, and the calls of the daemon.

Ruled out: a special case for 000, since 600 to 999 took the same path. Codes of our own 502 and what it says of an order (it may have run) are those of other broken answers, and unchanged. A status that proves that a request did not run is read only after this check.

Why it works: every answer of a server passes this place before anything acts on its head, and endpoint_error is a failure of the endpoint and no evidence against the request.

--- a/libs/core/tests/core_test.cpp
+++ b/libs/core/tests/core_test.cpp
@@ -3,6 +3,7 @@
 #include <parsleyshift/core/bounded_ring.hpp> // bounded_ring
 #include <parsleyshift/core/error.hpp>        // error, name_of, value_of
 #include <parsleyshift/core/hash.hpp>         // rendezvous_score
+#include <parsleyshift/core/http_status.hpp>  // is_valid_status
 #include <parsleyshift/core/ids.hpp>          // request_id
 
 #include <string> // string
@@ -69,3 +70,16 @@
                                      RC_ASSERT(owner_of(8) == owner);
                                  });
 }
+
+// Guards against a status code outside the five classes that passes for one of a response.
+TEST(core, valid_statuses_have_a_class)
+{
+    for (const unsigned status : {100U, 200U, 599U})
+    {
+        CHECK(is_valid_status(status));
+    }
+    for (const unsigned status : {0U, 99U, 600U, 999U})
+    {
+        CHECK_FALSE(is_valid_status(status));
+    }
+}
--- a/libs/runtime/src/http_exchange.cpp
+++ b/libs/runtime/src/http_exchange.cpp
@@ -1,5 +1,7 @@
 #include "http_exchange.hpp" // http_exchange
 
+#include <parsleyshift/core/http_status.hpp> // is_valid_status
+
 #include <boost/asio/buffer.hpp>      // buffer
 #include <boost/asio/post.hpp>        // post
 #include <boost/beast/http/error.hpp> // error
@@ -14,6 +16,7 @@
 #include <chrono>      // seconds
 #include <cstddef>     // size_t
 #include <optional>    // optional
+#include <string>      // string, to_string
 #include <string_view> // string_view
 #include <utility>     // move
 
@@ -368,7 +371,7 @@
         fail(attempt_failure::endpoint_error, "HTTP: " + failure.message());
         return false;
     }
-    if (!had_head && parser_->is_header_done() && !check_framing())
+    if (!had_head && parser_->is_header_done() && !check_head())
     {
         return false;
     }
@@ -399,10 +402,17 @@
     return !ended_ && consumed > 0 && !failure;
 }
 
-bool http_exchange::check_framing()
+bool http_exchange::check_head()
 {
     const auto& head = parser_->get().base();
-    const framing_result framing = response_body_framing(head, head.version(), head.result_int());
+    const unsigned status = head.result_int();
+    if (!is_valid_status(status))
+    {
+        // The parser accepts any three digits.
+        fail(attempt_failure::endpoint_error, "HTTP: the response has the invalid status " + std::to_string(status));
+        return false;
+    }
+    const framing_result framing = response_body_framing(head, head.version(), status);
     if (framing.has_error())
     {
         fail_framing(framing.error());
--- a/libs/runtime/src/http_exchange.hpp
+++ b/libs/runtime/src/http_exchange.hpp
@@ -75,9 +75,10 @@
     /// @return false when the exchange has ended
     bool drop_skipped_response();
     bool feed_parser();
-    /// @brief Fails the exchange if the end of its response is uncertain, once the head is complete.
+    /// @brief Fails the exchange if the status of its response is invalid or the end uncertain, once the head is
+    /// complete.
     /// @return false when the exchange has failed
-    bool check_framing();
+    bool check_head();
     void fail_framing(framing_fault fault);
     void on_end_of_input();
     void complete(answer_end end);
--- a/libs/runtime/tests/http_client_test.cpp
+++ b/libs/runtime/tests/http_client_test.cpp
@@ -219,3 +219,26 @@
         CHECK_TEXT(closed, framing.c_str());
     }
 }
+
+// Guards against a response with a status of no class (RFC 9110, section 15), which passed for a response of its
+// server.
+TEST(http_client, fails_on_a_response_with_an_invalid_status)
+{
+    for (const std::string status : {"000", "001", "099", "600", "999"})
+    {
+        bool closed = false;
+        {
+            const scripted_server server(
+                [&](scripted_server::connection& from)
+                {
+                    from.request();
+                    from.send(http_ok("ok", status + " OK"));
+                    closed = !from.request();
+                });
+            const http_result result = response_of(server, {});
+            CHECK_TEXT(result.has_error(), status.c_str());
+            CHECK(result.error().failure == attempt_failure::endpoint_error);
+        }
+        CHECK_TEXT(closed, status.c_str());
+    }
+}
