--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -877,3 +877,47 @@
     caller.send(request_text_of_caller);
     STRCMP_EQUAL("502", status_of(caller.read_answer()).c_str());
 }
+
+// Guards against an answer whose head is broken and that reaches a caller, with the broken line passed on or with a
+// body that is not the endpoint's.
+TEST(forwarder, passes_on_no_answer_with_a_broken_head)
+{
+    using namespace std::string_literals;
+    for (const std::string& broken : {"X : 1"s,
+                                      "X y: 1"s,
+                                      " X: 1"s,
+                                      "X\t: 1"s,
+                                      "X\ty: 1"s,
+                                      "X\x01y: 1"s,
+                                      "X\0y: 1"s,
+                                      "X\x7Fy: 1"s,
+                                      "X\xC3y: 1"s,
+                                      "X(y): 1"s,
+                                      "X[y]: 1"s,
+                                      ": 1"s,
+                                      "no colon"s,
+                                      "X: 1\r\n folded"s,
+                                      "X: 1\x01"s,
+                                      "X: \0"s,
+                                      "Content-Length : 2"s,
+                                      "Content Length: 2"s,
+                                      "Content-Length\x01: 2"s,
+                                      "Transfer-Encoding : chunked"s,
+                                      "Transfer Encoding: chunked"s})
+    {
+        const scripted_server endpoint(
+            [&broken](scripted_server::connection& from)
+            {
+                from.request();
+                from.send("HTTP/1.1 200 OK\r\nx-id: 5\r\n" + broken + "\r\nContent-Length: 2\r\n\r\nok");
+                from.request();
+            });
+        for (const route_kind kind : {route_kind::once, route_kind::idempotent, route_kind::stream})
+        {
+            running_forwarder forwarder(simple_core(endpoint.address(), kind));
+            client caller(forwarder.port());
+            caller.send(request_text_of_caller);
+            STRCMP_EQUAL_TEXT("502", status_of(caller.read_answer()).c_str(), broken.c_str());
+        }
+    }
+}
