Tell a broken answer to a health check from none

Callers would see requests that take longer, as they are passed on to other instances: an instance whose probes are answered with broken heads took that for silence, and when all probes of a round ended so, it took its links to all endpoints for lost. While it does, failures of single endpoints do not count, so that those in trouble stay in use.

Cause: a probe had three results, and a rejected response fell under the one for silence.

Change: probe_result::malformed. Something answers, so the links work; nothing tells which process it is, so it neither confirms the end of a stream without framing nor clears a request of having crashed its engine.

Evidence: with the new value alone, load_reader.tells_a_broken_answer_from_none failed (it was unknown) and so did rejected_answers.to_probes_show_that_links_work (links_lost logged once). unframed_streams.are_not_confirmed_by_a_malformed_answer holds with and without. Load reports with status 000 were rejected before; the test now sends one. After it the 39 tests of forwarding and 144 of decision_core pass.

Two tests of load_reader share the probe and the server that answers once; their checks are the same.

--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -245,6 +245,11 @@
 void core_state::handle(const endpoint_probed& probed)
 {
     const bool has_lost_run = probed_.erase(probed.endpoint) > 0;
+    if (probed.result == probe_result::malformed)
+    {
+        endpoint_answered();
+        return;
+    }
     if (probed.result == probe_result::alive)
     {
         endpoint_answered();
--- a/libs/decision_core/tests/rejected_answers_test.cpp
+++ b/libs/decision_core/tests/rejected_answers_test.cpp
@@ -2,6 +2,9 @@
 
 #include "single_core.hpp" // single_core, core_fixture
 
+#include <string>  // string
+#include <utility> // exchange
+
 using namespace parsleyshift;
 using namespace parsleyshift::literals;
 using namespace parsleyshift::test;
@@ -44,6 +47,21 @@
 
 TEST_GROUP_BASE(rejected_answers, rejected_answers_fixture){};
 
+// Guards against an instance that takes broken answers to all its probes for the loss of its links.
+TEST(rejected_answers, to_probes_show_that_links_work)
+{
+    core.configure();
+    const request_id failed = core.send_request("/non-idempotent/1");
+    core.feed(attempt_failed{core.last_start(failed)->attempt, attempt_failure::connect_failed, "refused"});
+    core.advance(60_ms);
+    CHECK(core.probes.size() > 1);
+    for (const probe_endpoint& probe : std::exchange(core.probes, {}))
+    {
+        core.feed(endpoint_probed{probe.endpoint, probe_result::malformed});
+    }
+    LONGS_EQUAL(0, core.lines(log_event::links_lost));
+}
+
 // Guards against an endpoint whose answers are rejected and that stays in use, and against a request that is blamed for
 // such an answer.
 TEST(rejected_answers, eject_their_endpoint_and_block_no_request)
--- a/libs/decision_core/tests/unframed_streams_test.cpp
+++ b/libs/decision_core/tests/unframed_streams_test.cpp
@@ -110,6 +110,18 @@
     CHECK(is_complete());
 }
 
+// Guards against a broken answer that counts as one of the engine, which may have ended.
+TEST(unframed_streams, are_not_confirmed_by_a_malformed_answer)
+{
+    end_stream();
+    answer_probe(probe_result::malformed);
+    CHECK(is_open());
+    core.advance(100_ms);
+    LONGS_EQUAL(2, probe_count());
+    answer_probe(probe_result::alive);
+    CHECK(is_complete());
+}
+
 // Guards against a caller that waits without end for its last chunk, or gets a part of its stream as complete.
 TEST(unframed_streams, are_broken_off_when_nothing_tells_whether_their_engine_runs)
 {
--- a/libs/forwarding/include/parsleyshift/forwarding/load_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/load_reader.hpp
@@ -81,6 +81,10 @@
         {
             return probe_result::alive;
         }
+        if (received.error().failure == attempt_failure::endpoint_error)
+        {
+            return probe_result::malformed;
+        }
         return received.error().message == refusal ? probe_result::refused : probe_result::unknown;
     }
     [[nodiscard]] endpoint_statement statement_of(const http_result& received) const
--- a/libs/forwarding/tests/load_reader_test.cpp
+++ b/libs/forwarding/tests/load_reader_test.cpp
@@ -54,6 +54,32 @@
     bool finished_ = false;
 };
 
+/// Returns the result of a probe.
+probe_result result_of_probe(const std::string& address)
+{
+    probe_result result = probe_result::unknown;
+    running_reader reader(
+        [&result](const event& what, load_reader<small_protocol>& /*reader*/)
+        {
+            const auto* probed = std::get_if<endpoint_probed>(&what);
+            result = probed == nullptr ? result : probed->result;
+            return probed != nullptr && probed->endpoint == endpoint_id{"e"} && probed->attempt == attempt_id{7};
+        });
+    CHECK_TRUE(reader.run(probe_endpoint{endpoint_id{"e"}, address, attempt_id{7}}));
+    return result;
+}
+
+/// A server that sends one answer on each connection.
+scripted_server answering(const std::string& answer)
+{
+    return scripted_server(
+        [answer](scripted_server::connection& from)
+        {
+            from.request();
+            from.send(answer);
+        });
+}
+
 } // namespace
 
 TEST_GROUP(load_reader){};
@@ -88,13 +114,9 @@
 // Guards against a refused connection or an error status that counts as a load report.
 TEST(load_reader, reports_an_endpoint_without_a_load_report)
 {
-    scripted_server broken(
-        [](scripted_server::connection& from)
-        {
-            from.request();
-            from.send("HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n");
-        });
-    for (const std::string& address : {broken.address(), refused_address()})
+    const scripted_server broken = answering("HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n");
+    const scripted_server invalid = answering("HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nready");
+    for (const std::string& address : {broken.address(), invalid.address(), refused_address()})
     {
         running_reader reader([](const event& what, load_reader<small_protocol>& /*reader*/)
                               { return std::holds_alternative<load_unavailable>(what); });
@@ -134,24 +156,20 @@
 // Guards against a dead endpoint that is taken for a live one, or the other way round.
 TEST(load_reader, tells_whether_the_process_of_an_endpoint_runs)
 {
-    scripted_server endpoint(
-        [](scripted_server::connection& from)
-        {
-            from.request();
-            from.send("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
-        });
-    for (const bool is_alive : {true, false})
+    const scripted_server endpoint = answering("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+    CHECK(result_of_probe(endpoint.address()) == probe_result::alive);
+    CHECK(result_of_probe(refused_address()) == probe_result::refused);
+}
+
+// Guards against a broken answer that counts as none, so that the links seem lost, or as that of a live process.
+TEST(load_reader, tells_a_broken_answer_from_none)
+{
+    for (const std::string answer : {"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+                                     "HTTP/1.1 200 OK\r\nX y: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n z\r\n\r\n"})
     {
-        probe_result result = probe_result::unknown;
-        running_reader reader(
-            [&result](const event& what, load_reader<small_protocol>& /*reader*/)
-            {
-                const auto* probed = std::get_if<endpoint_probed>(&what);
-                result = probed == nullptr ? result : probed->result;
-                return probed != nullptr && probed->endpoint == endpoint_id{"e"} && probed->attempt == attempt_id{7};
-            });
-        CHECK_TRUE(reader.run(
-            probe_endpoint{endpoint_id{"e"}, is_alive ? endpoint.address() : refused_address(), attempt_id{7}}));
-        CHECK(result == (is_alive ? probe_result::alive : probe_result::refused));
+        const scripted_server endpoint = answering(answer);
+        CHECK_TEXT(result_of_probe(endpoint.address()) == probe_result::malformed, answer.c_str());
     }
+    const scripted_server closing = answering("");
+    CHECK(result_of_probe(closing.address()) == probe_result::unknown);
 }
--- a/libs/messages/include/parsleyshift/messages/event.hpp
+++ b/libs/messages/include/parsleyshift/messages/event.hpp
@@ -97,7 +97,9 @@
     alive,
     /// The connection was refused: no process listens at the address.
     refused,
-    /// Neither, within the time of the probe.
+    /// Bytes that are no valid response: the address can be reached, but nothing tells which process uses it.
+    malformed,
+    /// None of these within the time of the probe.
     unknown,
 };
 
@@ -106,6 +108,7 @@
 {
     static constexpr std::array rows{enum_name<probe_result>{probe_result::alive, "alive"},
                                      enum_name<probe_result>{probe_result::refused, "refused"},
+                                     enum_name<probe_result>{probe_result::malformed, "malformed"},
                                      enum_name<probe_result>{probe_result::unknown, "unknown"}};
 };
 
