Wait after watches with broken answers

A store whose listings are sound and whose watches are answered with a broken head was listed without a pause: in the new test 27 listings had been answered when it gave up 5 ms after its start. The link and the processor of a small instance would go to it. Since status 000 is rejected it took this path too; before, such a watch counted as refused and was tried again after a delay.

Cause: a rejected answer to a watch starts a listing at once, which is right for one that is too large, and the listing that follows is sound and resets the count of failures.

Change: the first rejected answer to a watch is still followed by a listing at once. One that follows it without a sound watch in between counts as a failed read: the delay of a failed read comes before the next listing, peers are asked meanwhile, and the core learns that the configuration is unavailable.

Evidence: store_reader.waits_after_watches_with_broken_answers, for status 000, a blank in the name of a field, and bytes that are no HTTP, failed before the change (27 listings, 2 expected) and passes with it, five runs of five. 40 tests of forwarding pass.

--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -15,7 +15,7 @@
 #include <map>        // map
 #include <optional>   // optional
 #include <string>     // string
-#include <utility>    // move
+#include <utility>    // exchange, move
 #include <vector>     // vector
 
 namespace parsleyshift
@@ -270,14 +270,15 @@
         {
             const http_failure& failure = response.error();
             report_read(store_read_result::no_response, failure.received_bytes, failure.message);
-            if (!is_listing && failure.failure == attempt_failure::endpoint_error)
+            const bool is_watch_rejected = !is_listing && failure.failure == attempt_failure::endpoint_error;
+            if (is_watch_rejected && !std::exchange(watch_rejected_, true))
             {
                 // The response is too large, or no HTTP.
                 watch_.restart_listing();
                 request_next();
                 return;
             }
-            handle_failure(failure.received_bytes > 0);
+            handle_failure(is_watch_rejected || failure.received_bytes > 0);
             return;
         }
         const http_answer& answer = response.value();
@@ -355,6 +356,7 @@
         }
         changes.value().era = era;
         watch_.handle(changes.value());
+        watch_rejected_ = false;
         return true;
     }
     /// @param response_started whether a part of a response has arrived, or one that cannot be decoded
@@ -537,6 +539,8 @@
     /// The read in progress.
     store_read current_read_;
     time_point read_started_at_;
+    /// The response to a watch was rejected, and none has been accepted since. The next rejection delays the listing.
+    bool watch_rejected_ = false;
     bool closed_ = false;
 };
 
