Wait for the final response after interim ones

Callers would see: when an endpoint sends an interim response (103 Early Hints) with the request's id before the final one, they got it as the answer, on each kind of route, and would wait for a final response that never came. Without the id the whole answer was rejected, though the request had run. In the product's own calls and reads of the store an interim response was the result.

Found while the places were checked that read a status: 1xx is a class, but never that of a final response (RFC 9110, section 15.2).

Cause: the parser ends a message of status 1xx after its head, and the exchange took any complete message for the response.

Change: http_exchange drops up to 16 interim responses and reads on. More of them, and 101, which answers an upgrade that no request asks for, fail the attempt with endpoint_error; the end of the connection after one is a broken link, as without it. The deadlines of the exchange stay as they are.

Evidence: forwarder.passes_on_the_final_response_only failed before (status 103, expected 200), and so did http_client.waits_for_the_final_response_after_interim_ones (100) and fails_without_a_final_response (102 was a response). A first form compared the status as an enumerator, which the library lacks for 103, and failed the same tests. With the change 41 tests of forwarding and 72 of runtime pass.

--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -921,3 +921,25 @@
         }
     }
 }
+
+// Guards against an interim response (1xx) that reaches a caller as the answer: callers would wait for a final one.
+TEST(forwarder, passes_on_the_final_response_only)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nx-id: 5\r\n\r\n";
+    const scripted_server endpoint(
+        [&interim](scripted_server::connection& from)
+        {
+            from.request();
+            from.send(interim + "HTTP/1.1 200 OK\r\nx-id: 5\r\nContent-Length: 2\r\n\r\nok");
+            from.request();
+        });
+    for (const route_kind kind : {route_kind::once, route_kind::idempotent, route_kind::stream})
+    {
+        running_forwarder forwarder(simple_core(endpoint.address(), kind));
+        client caller(forwarder.port());
+        caller.send(request_text_of_caller);
+        const std::string answer = caller.read_answer();
+        STRCMP_EQUAL("200", status_of(answer).c_str());
+        CHECK(answer.ends_with("\r\n\r\nok"));
+    }
+}
--- a/libs/runtime/include/parsleyshift/runtime/http_client.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_client.hpp
@@ -84,7 +84,8 @@
     exchange_sink(exchange_sink&&) = delete;
     exchange_sink& operator=(exchange_sink&&) = delete;
 
-    /// @brief The header of a response has been received; called once more after each response that was skipped.
+    /// @brief The header of a final response has been received; called once more after each response that was skipped.
+    /// Interim responses (1xx) are dropped, and one with an invalid status or framing ends with on_failed().
     /// @param reused_connection the connection has carried earlier requests, to one of which the response may belong
     virtual head_verdict on_head(const response_head& head, bool reused_connection) = 0;
     /// @brief Further bytes of the body have been received.
--- a/libs/runtime/src/http_exchange.cpp
+++ b/libs/runtime/src/http_exchange.cpp
@@ -32,6 +32,8 @@
 /// the server has closed the connection; the margin covers a round trip between regions.
 constexpr duration idle_margin{300};
 constexpr std::string_view timeout_parameter = "timeout=";
+/// Interim responses (1xx) that are dropped before an exchange fails.
+constexpr int max_interim_responses = 16;
 /// Responses to other requests that are dropped before an exchange fails.
 constexpr int max_skipped_responses = 4;
 /// Their total size, that of the largest response which an instance passes on.
@@ -371,9 +373,16 @@
         fail(attempt_failure::endpoint_error, "HTTP: " + failure.message());
         return false;
     }
-    if (!had_head && parser_->is_header_done() && !check_head())
+    if (!had_head && parser_->is_header_done())
     {
-        return false;
+        if (!check_head())
+        {
+            return false;
+        }
+        if (http::to_status_class(parser_->get().result_int()) == http::status_class::informational)
+        {
+            return drop_interim_response();
+        }
     }
     if (parser_->is_header_done() && !head_reported_)
     {
@@ -430,6 +439,22 @@
     fail(attempt_failure::endpoint_error, "HTTP: the response has " + std::string{name_of(fault)});
 }
 
+bool http_exchange::drop_interim_response()
+{
+    if (parser_->get().result() == http::status::switching_protocols)
+    {
+        fail(attempt_failure::endpoint_error, "HTTP: the response switches to a protocol that was not requested");
+        return false;
+    }
+    if (++interim_responses_ > max_interim_responses)
+    {
+        fail(attempt_failure::endpoint_error, "HTTP: too many interim responses");
+        return false;
+    }
+    make_parser();
+    return true;
+}
+
 bool http_exchange::report_head(exchange_sink& sink)
 {
     const head_verdict verdict = sink.on_head(parser_->get().base(), connection_->reused);
--- a/libs/runtime/src/http_exchange.hpp
+++ b/libs/runtime/src/http_exchange.hpp
@@ -80,6 +80,9 @@
     /// @return false when the exchange has failed
     bool check_head();
     void fail_framing(framing_fault fault);
+    /// @brief Drops an interim response (1xx), which has no body, and prepares for the response that follows.
+    /// @return false when the exchange has failed
+    bool drop_interim_response();
     void on_end_of_input();
     void complete(answer_end end);
     void fail(attempt_failure failure, std::string message);
@@ -105,6 +108,7 @@
     bool head_reported_ = false;
     /// The response that is being read belongs to another request.
     bool skipping_ = false;
+    int interim_responses_ = 0;
     int skipped_responses_ = 0;
     std::size_t skipped_bytes_ = 0;
     bool ended_ = false;
--- a/libs/runtime/tests/http_client_test.cpp
+++ b/libs/runtime/tests/http_client_test.cpp
@@ -4,11 +4,13 @@
 
 #include <parsleyshift/runtime/http_client.hpp> // http_client
 
+#include <chrono>     // milliseconds
 #include <cstddef>    // size_t
 #include <functional> // function
 #include <memory>     // make_shared
 #include <optional>   // optional
 #include <string>     // string
+#include <thread>     // sleep_for
 #include <utility>    // move
 
 using namespace parsleyshift;
@@ -242,3 +244,56 @@
         CHECK_TEXT(closed, status.c_str());
     }
 }
+
+// Guards against an interim response (1xx) that passes for the response of a request, whose final one is then lost or
+// taken for that of the next request.
+TEST(http_client, waits_for_the_final_response_after_interim_ones)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n";
+    for (const bool separately : {false, true})
+    {
+        const scripted_server server(
+            [&](scripted_server::connection& from)
+            {
+                from.request();
+                from.send(separately ? interim : interim + http_ok("ok"));
+                if (separately)
+                {
+                    std::this_thread::sleep_for(std::chrono::milliseconds{20});
+                    from.send(http_ok("ok"));
+                }
+                from.request();
+            });
+        const http_result result = response_of(server, {});
+        CHECK(result.has_value());
+        LONGS_EQUAL(200, result.value().status);
+        STRCMP_EQUAL("ok", result.value().body.c_str());
+        CHECK(result.value().head["X"].empty());
+    }
+}
+
+// Guards against interim responses without end, and against one that is the last, which leave a request without a
+// result or complete.
+TEST(http_client, fails_without_a_final_response)
+{
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    const auto failure_after = [](const std::string& response, int repetitions)
+    {
+        const scripted_server server(
+            [&](scripted_server::connection& from)
+            {
+                from.request();
+                for (int each = 0; each < repetitions; ++each)
+                {
+                    from.send(response);
+                }
+            });
+        const http_result result = response_of(server, {});
+        CHECK_TEXT(result.has_error(), response.c_str());
+        return result.error().failure;
+    };
+    CHECK(failure_after(interim, endless_repetitions) == attempt_failure::endpoint_error);
+    CHECK(failure_after(interim, 1) == attempt_failure::link_broken);
+    CHECK(failure_after("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", 1) ==
+          attempt_failure::endpoint_error);
+}
