Reject responses with an invalid status in the client library

Users of the client library and parsleyctl saw: a response with status 000 was an answer, and its body decided what it said.

Cause: the client library has an HTTP client of its own, whose parser takes any three digits for a status.

Change: it checks the status as the client of the daemon does. An invalid one is a broken connection, so that the request may have run and the connection is not used again.

Evidence: client_connection.broken_heads_are_broken_connections failed before, at status 000 (no error).

--- a/libs/client/src/client_connection.cpp
+++ b/libs/client/src/client_connection.cpp
@@ -1,5 +1,7 @@
 #include <parsleyshift/client/client_connection.hpp> // client_connection
 
+#include <parsleyshift/core/http_status.hpp> // is_valid_status
+
 #include <boost/asio/io_context.hpp>        // io_context
 #include <boost/asio/ip/tcp.hpp>            // tcp
 #include <boost/beast/core/flat_buffer.hpp> // flat_buffer
@@ -51,6 +53,7 @@
 
   private:
     using request_type = http::request<http::string_body>;
+    using response_parser = http::response_parser<http::buffer_body>;
 
     [[nodiscard]] request_type to_request(const client_request& call) const
     {
@@ -91,7 +94,7 @@
         {
             return connection_error(ec);
         }
-        http::response_parser<http::buffer_body> parser;
+        response_parser parser;
         parser.body_limit(sink == nullptr ? max_body_bytes : std::numeric_limits<std::uint64_t>::max());
         if (const error_code ec = run_operation(
                 [&](auto done) { http::async_read_header(*tcp_stream_, buffer_, parser, std::move(done)); }))
@@ -99,9 +102,14 @@
             return connection_error(ec);
         }
         header_received_ = true;
+        const unsigned status = parser.get().result_int();
+        if (!is_valid_status(status))
+        {
+            return connection_error("the response has the invalid status " + std::to_string(status));
+        }
         return read_body(parser, sink);
     }
-    result<client_response> read_body(http::response_parser<http::buffer_body>& parser, const body_sink* sink)
+    result<client_response> read_body(response_parser& parser, const body_sink* sink)
     {
         client_response answer;
         answer.status = static_cast<int>(parser.get().result_int());
@@ -174,7 +182,11 @@
     }
     [[nodiscard]] error connection_error(const error_code& cause) const
     {
-        return make_error(error_kind::link_broken, address_ + ": " + cause.message());
+        return connection_error(cause.message());
+    }
+    [[nodiscard]] error connection_error(const std::string& cause) const
+    {
+        return make_error(error_kind::link_broken, address_ + ": " + cause);
     }
 
     std::string address_;
--- a/libs/client/tests/client_connection_test.cpp
+++ b/libs/client/tests/client_connection_test.cpp
@@ -145,6 +145,27 @@
     }
 }
 
+// Guards against a response with a broken head that passes for an answer, and its connection for one in order.
+TEST(client_connection, broken_heads_are_broken_connections)
+{
+    const std::string end = "Content-Length: 0\r\n\r\n";
+    for (const std::string head :
+         {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 200 OK\r\nX : 1\r\n",
+          "HTTP/1.1 200 OK\r\nX y: 1\r\n", "HTTP/1.1 200 OK\r\nX\x01: 1\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n"})
+    {
+        for (const bool streamed : {false, true})
+        {
+            scripted_server server{{head + end}};
+            client_connection client{server.address(), operation_timeout};
+            const client_request request{"POST", "/a", "{}", ""};
+            const auto answer = streamed ? client.stream(request, [](std::string_view /*piece*/) { return true; })
+                                         : client.call(request);
+            CHECK_TEXT(answer.has_error(), head.c_str());
+            CHECK(answer.error().kind == error_kind::link_broken);
+        }
+    }
+}
+
 // Guards against names with special characters that corrupt the target of a request.
 TEST(client_connection, percent_encodes_names)
 {
