Wait for the final response in the client library

Users of the client library saw an interim response as the answer to a call; the final response stayed on the connection.

Change: up to 16 interim responses are dropped. More of them, and 101, are a broken connection.

--- a/libs/client/include/parsleyshift/client/client_connection.hpp
+++ b/libs/client/include/parsleyshift/client/client_connection.hpp
@@ -39,7 +39,8 @@
 ///
 /// Each connect, write and read has a time limit. Errors: error_kind::no_endpoint if the connection to the address
 /// could not be established, so that nothing was sent; error_kind::link_broken if the connection broke or timed out
-/// later, or the head of the response is invalid, so that the request may have run.
+/// later, or the head of the response is invalid, so that the request may have run. Interim responses (1xx) are
+/// dropped.
 class client_connection
 {
   public:
--- a/libs/client/src/client_connection.cpp
+++ b/libs/client/src/client_connection.cpp
@@ -55,6 +55,9 @@
     using request_type = http::request<http::string_body>;
     using response_parser = http::response_parser<http::buffer_body>;
 
+    /// Interim responses (1xx) that are dropped before a call fails.
+    static constexpr int max_interim_responses = 16;
+
     [[nodiscard]] request_type to_request(const client_request& call) const
     {
         // Version 11 is HTTP/1.1.
@@ -94,20 +97,29 @@
         {
             return connection_error(ec);
         }
-        response_parser parser;
-        parser.body_limit(sink == nullptr ? max_body_bytes : std::numeric_limits<std::uint64_t>::max());
-        if (const error_code ec = run_operation(
-                [&](auto done) { http::async_read_header(*tcp_stream_, buffer_, parser, std::move(done)); }))
-        {
-            return connection_error(ec);
-        }
-        header_received_ = true;
-        const unsigned status = parser.get().result_int();
-        if (!is_valid_status(status))
+        std::optional<response_parser> parser;
+        for (int interim_responses = 0; interim_responses <= max_interim_responses; ++interim_responses)
         {
-            return connection_error("the response has the invalid status " + std::to_string(status));
+            parser.emplace();
+            parser->body_limit(sink == nullptr ? max_body_bytes : std::numeric_limits<std::uint64_t>::max());
+            if (const error_code ec = run_operation(
+                    [&](auto done) { http::async_read_header(*tcp_stream_, buffer_, *parser, std::move(done)); }))
+            {
+                return connection_error(ec);
+            }
+            header_received_ = true;
+            const unsigned status = parser->get().result_int();
+            // No request asks for an upgrade.
+            if (!is_valid_status(status) || parser->get().result() == http::status::switching_protocols)
+            {
+                return connection_error("the response has the invalid status " + std::to_string(status));
+            }
+            if (http::to_status_class(status) != http::status_class::informational)
+            {
+                return read_body(*parser, sink);
+            }
         }
-        return read_body(parser, sink);
+        return connection_error("too many interim responses");
     }
     result<client_response> read_body(response_parser& parser, const body_sink* sink)
     {
--- a/libs/client/tests/client_connection_test.cpp
+++ b/libs/client/tests/client_connection_test.cpp
@@ -150,8 +150,9 @@
 {
     const std::string end = "Content-Length: 0\r\n\r\n";
     for (const std::string head :
-         {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 200 OK\r\nX : 1\r\n",
-          "HTTP/1.1 200 OK\r\nX y: 1\r\n", "HTTP/1.1 200 OK\r\nX\x01: 1\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n"})
+         {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 101 Switching Protocols\r\n",
+          "HTTP/1.1 200 OK\r\nX : 1\r\n", "HTTP/1.1 200 OK\r\nX y: 1\r\n", "HTTP/1.1 200 OK\r\nX\x01: 1\r\n",
+          "HTTP/1.1 200 OK\r\nno colon\r\n"})
     {
         for (const bool streamed : {false, true})
         {
@@ -166,6 +167,31 @@
     }
 }
 
+// Guards against an interim response that passes for the answer, so that the answer passes for that of the next call.
+TEST(client_connection, reads_the_final_response_after_interim_ones)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    const std::string final_response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    scripted_server server{{"HTTP/1.1 100 Continue\r\n\r\n" + interim + final_response, final_response}};
+    client_connection client{server.address(), operation_timeout};
+    // The server ends after two calls.
+    const std::vector answers{client.call({"POST", "/a", "{}", ""}), client.call({"POST", "/b", "{}", ""})};
+    for (const auto& answer : answers)
+    {
+        CHECK(answer.has_value());
+        LONGS_EQUAL(200, answer.value().status);
+        STRCMP_EQUAL("ok", answer.value().body.c_str());
+    }
+    std::string endless;
+    for (int each = 0; each < 1'000; ++each)
+    {
+        endless += interim;
+    }
+    scripted_server faulty{{endless}};
+    client_connection other{faulty.address(), operation_timeout};
+    CHECK(other.call({"POST", "/a", "{}", ""}).error().kind == error_kind::link_broken);
+}
+
 // Guards against names with special characters that corrupt the target of a request.
 TEST(client_connection, percent_encodes_names)
 {
