Share the limit of interim responses

The daemon's client and the client library had one each, of the same value. Two comments say what is meant. No behaviour changes; tests of client, forwarding, decision_core and http_client pass.

--- a/libs/client/src/client_connection.cpp
+++ b/libs/client/src/client_connection.cpp
@@ -1,6 +1,6 @@
 #include <parsleyshift/client/client_connection.hpp> // client_connection
 
-#include <parsleyshift/core/http_status.hpp> // is_valid_status
+#include <parsleyshift/core/http_status.hpp> // is_valid_status, max_interim_responses
 
 #include <boost/asio/io_context.hpp>        // io_context
 #include <boost/asio/ip/tcp.hpp>            // tcp
@@ -55,9 +55,6 @@
     using request_type = http::request<http::string_body>;
     using response_parser = http::response_parser<http::buffer_body>;
 
-    /// Interim responses (1xx) that are dropped before a call fails.
-    static constexpr int max_interim_responses = 16;
-
     [[nodiscard]] request_type to_request(const client_request& call) const
     {
         // Version 11 is HTTP/1.1.
--- a/libs/core/include/parsleyshift/core/http_status.hpp
+++ b/libs/core/include/parsleyshift/core/http_status.hpp
@@ -12,4 +12,7 @@
     return status >= lowest && status <= highest;
 }
 
+/// @brief Number of interim responses (1xx) that a client drops before a request fails.
+inline constexpr int max_interim_responses = 16;
+
 } // namespace parsleyshift
--- a/libs/decision_core/src/core_state.cpp
+++ b/libs/decision_core/src/core_state.cpp
@@ -247,6 +247,7 @@
     const bool has_lost_run = probed_.erase(probed.endpoint) > 0;
     if (probed.result == probe_result::malformed)
     {
+        // Shows that the links work, but not whether the process that ran the requests still exists.
         endpoint_answered();
         return;
     }
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -273,7 +273,7 @@
             const bool is_watch_rejected = !is_listing && failure.failure == attempt_failure::endpoint_error;
             if (is_watch_rejected && !std::exchange(watch_rejected_, true))
             {
-                // The response is too large, or no HTTP.
+                // The response is too large, or its head is invalid.
                 watch_.restart_listing();
                 request_next();
                 return;
--- a/libs/runtime/src/http_exchange.cpp
+++ b/libs/runtime/src/http_exchange.cpp
@@ -1,6 +1,6 @@
 #include "http_exchange.hpp" // http_exchange
 
-#include <parsleyshift/core/http_status.hpp> // is_valid_status
+#include <parsleyshift/core/http_status.hpp> // is_valid_status, max_interim_responses
 
 #include <boost/asio/buffer.hpp>      // buffer
 #include <boost/asio/post.hpp>        // post
@@ -32,8 +32,6 @@
 /// the server has closed the connection; the margin covers a round trip between regions.
 constexpr duration idle_margin{300};
 constexpr std::string_view timeout_parameter = "timeout=";
-/// Interim responses (1xx) that are dropped before an exchange fails.
-constexpr int max_interim_responses = 16;
 /// Responses to other requests that are dropped before an exchange fails.
 constexpr int max_skipped_responses = 4;
 /// Their total size, that of the largest response which an instance passes on.
