--- a/libs/forwarding/tests/store_reader_test.cpp
+++ b/libs/forwarding/tests/store_reader_test.cpp
@@ -5,6 +5,7 @@
 #include <parsleyshift/forwarding/store_reader.hpp> // store_reader
 
 #include <atomic>      // atomic
+#include <cstddef>     // size_t
 #include <functional>  // function
 #include <string>      // string
 #include <string_view> // string_view
