Let store_watch decide how a rejected watch is followed

The simulated region of the tests had the former rule as a copy, so that it no longer played what the product does when answers to watches are too large.

The flag is now in store_watch (restart_after_rejected_watch), and both call it. The behaviour of the product is unchanged.

--- a/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
+++ b/libs/configuration/include/parsleyshift/configuration/store_watch.hpp
@@ -116,6 +116,11 @@
     /// @brief Starts a new listing, because the store no longer has the changes after the revision of the watch. The
     /// local copy stays in use until the listing is complete.
     void restart_listing();
+    /// @brief Handles a response to a watch that is too large or invalid. The first one is followed by a listing at
+    /// once, as restart_listing() does; until a response to a watch has been accepted, each further one is a failed
+    /// call.
+    /// @return false when nothing was done, and the caller has to call record_failure(true)
+    [[nodiscard]] bool restart_after_rejected_watch();
     /// @brief Handles a failed call. After a watch of whose response a part has arrived, the next call is a listing:
     /// the watch would be answered with the same changes and all that have followed, whereas a listing has each item
     /// once.
@@ -220,6 +225,8 @@
     /// The next call is part of a listing, because there is none yet or the last one is out of date.
     bool listing_needed_ = true;
     bool listing_in_progress_ = false;
+    /// The response to a watch was rejected, and none has been accepted since.
+    bool watch_rejected_ = false;
     int consecutive_failures_ = 0;
 };
 
--- a/libs/configuration/src/store_watch.cpp
+++ b/libs/configuration/src/store_watch.cpp
@@ -5,7 +5,7 @@
 #include <algorithm> // clamp, max, min, min_element
 #include <iterator>  // next
 #include <set>       // set
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 namespace parsleyshift
 {
@@ -157,6 +157,7 @@
 void store_watch::handle(const store_changes& answer)
 {
     consecutive_failures_ = 0;
+    watch_rejected_ = false;
     if (answer.era > era_)
     {
         restart_listing();
@@ -339,6 +340,16 @@
     listing_in_progress_ = false;
 }
 
+bool store_watch::restart_after_rejected_watch()
+{
+    if (std::exchange(watch_rejected_, true))
+    {
+        return false;
+    }
+    restart_listing();
+    return true;
+}
+
 duration store_watch::record_failure(bool response_started)
 {
     // The pages of an interrupted listing may be too old to continue from.
--- a/libs/configuration/tests/simulated_region.hpp
+++ b/libs/configuration/tests/simulated_region.hpp
@@ -6,15 +6,16 @@
 #include <parsleyshift/configuration/source_relay.hpp>   // source_relay
 #include <parsleyshift/core/random_source.hpp>           // random_source
 
-#include <algorithm> // max, min, rotate
-#include <cstddef>   // ptrdiff_t, size_t
-#include <cstdint>   // uint64_t
-#include <map>       // map
-#include <memory>    // unique_ptr
-#include <optional>  // optional
-#include <string>    // string
-#include <utility>   // move
-#include <vector>    // vector
+#include <algorithm>  // max, min, rotate
+#include <cstddef>    // ptrdiff_t, size_t
+#include <cstdint>    // uint64_t
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // unique_ptr
+#include <optional>   // optional
+#include <string>     // string
+#include <utility>    // move
+#include <vector>     // vector
 
 namespace parsleyshift::test_support
 {
@@ -397,7 +398,7 @@
                             arrive_at_store(each, number);
                         });
     }
-    void fail_call(node& each, std::uint64_t number)
+    void fail_call(node& each, std::uint64_t number, bool is_rejected = false)
     {
         if (each.call_number != number || each.frozen)
         {
@@ -405,7 +406,7 @@
         }
         ++each.call_number;
         each.watch_pending = false;
-        const bool response_started = links_.cancel(each.transfer);
+        const bool response_started = links_.cancel(each.transfer) || is_rejected;
         each.relay.record_failed_read(links_.now() + each.watch.record_failure(response_started));
         answer_pending_pulls(each, false);
         request_next(each);
@@ -445,7 +446,12 @@
             page.items.push_back(item);
             bytes += key.size() + item.value.size();
         }
-        respond(each, bytes, [&each, page] { each.watch.handle(page); });
+        respond(each, bytes,
+                [&each, page]
+                {
+                    each.watch.handle(page);
+                    return true;
+                });
     }
     void answer_watch(node& each)
     {
@@ -455,7 +461,12 @@
         changes.era = source_era{era_};
         if (each.call.after > revision{store_revision_})
         {
-            respond(each, 0, [&each] { each.watch.restart_listing(); });
+            respond(each, 0,
+                    [&each]
+                    {
+                        each.watch.restart_listing();
+                        return true;
+                    });
             return;
         }
         std::size_t bytes = 0;
@@ -467,7 +478,12 @@
             }
             if (kept.at + history_kept < links_.now())
             {
-                respond(each, 0, [&each] { each.watch.restart_listing(); });
+                respond(each, 0,
+                        [&each]
+                        {
+                            each.watch.restart_listing();
+                            return true;
+                        });
                 return;
             }
             bytes += kept.change.key.size() + kept.change.value->size();
@@ -475,13 +491,19 @@
         }
         if (encoded(bytes) > each.call.max_response_bytes)
         {
-            respond(each, 0, [&each] { each.watch.restart_listing(); });
+            respond(each, 0, [&each] { return each.watch.restart_after_rejected_watch(); });
             return;
         }
-        respond(each, bytes, [&each, changes = std::move(changes)] { each.watch.handle(changes); });
+        respond(each, bytes,
+                [&each, changes = std::move(changes)]
+                {
+                    each.watch.handle(changes);
+                    return true;
+                });
     }
     /// Sends a response of the store to an instance, which applies it and goes on.
-    void respond(node& each, std::size_t bytes, simulated_links::callback apply)
+    /// @param apply returns false for a response that fails the call
+    void respond(node& each, std::size_t bytes, std::function<bool()> apply)
     {
         const std::uint64_t number = each.call_number;
         const auto receive = [this, &each, number, apply = std::move(apply)]
@@ -490,9 +512,13 @@
             {
                 return;
             }
+            if (!apply())
+            {
+                fail_call(each, number, true);
+                return;
+            }
             ++each.call_number;
             each.watch.record_response(links_.now());
-            apply();
             each.relay.record_read();
             answer_pending_pulls(each, true);
             request_next(each);
--- a/libs/configuration/tests/store_watch_test.cpp
+++ b/libs/configuration/tests/store_watch_test.cpp
@@ -100,6 +100,27 @@
     CHECK(watch.take_changed().empty());
 }
 
+// Guards against a store whose watches are answered with responses that cannot be used, and that is listed without a
+// pause.
+TEST(store_watch, lists_at_once_after_the_first_rejected_watch_only)
+{
+    watch.next(start);
+    watch.handle(page({item("a", "1", 3)}, 10));
+    watch.next(start);
+    CHECK(watch.restart_after_rejected_watch());
+    CHECK(watch.next(start).what == store_call::kind::list);
+    watch.handle(page({item("a", "1", 3)}, 10));
+    watch.next(start);
+    CHECK_FALSE(watch.restart_after_rejected_watch());
+    CHECK(watch.record_failure(true) > duration{});
+    watch.next(start + 1_s);
+    watch.handle(page({item("a", "1", 3)}, 10));
+    watch.next(start + 1_s);
+    watch.handle(store_changes{{}, revision{10}});
+    watch.next(start + 2_s);
+    CHECK(watch.restart_after_rejected_watch());
+}
+
 // Guards against a watch whose response is too large to arrive in time and gets larger with each repetition.
 TEST(store_watch, lists_after_a_watch_whose_response_was_cut_off)
 {
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -270,11 +270,10 @@
         {
             const http_failure& failure = response.error();
             report_read(store_read_result::no_response, failure.received_bytes, failure.message);
+            // The response is too large, or its head is invalid.
             const bool is_watch_rejected = !is_listing && failure.failure == attempt_failure::endpoint_error;
-            if (is_watch_rejected && !std::exchange(watch_rejected_, true))
+            if (is_watch_rejected && watch_.restart_after_rejected_watch())
             {
-                // The response is too large, or its head is invalid.
-                watch_.restart_listing();
                 request_next();
                 return;
             }
@@ -356,7 +355,6 @@
         }
         changes.value().era = era;
         watch_.handle(changes.value());
-        watch_rejected_ = false;
         return true;
     }
     /// @param response_started whether a part of a response has arrived, or one that cannot be decoded
@@ -539,8 +537,6 @@
     /// The read in progress.
     store_read current_read_;
     time_point read_started_at_;
-    /// The response to a watch was rejected, and none has been accepted since. The next rejection delays the listing.
-    bool watch_rejected_ = false;
     bool closed_ = false;
 };
 
