--- a/review/12/case.py
+++ b/review/12/case.py
@@ -6,7 +6,6 @@
 import signal
 import subprocess
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 COMMON = os.path.join(os.path.dirname(FOLDER), "common-3")
@@ -55,6 +54,27 @@
     return [service]
 
 
+async def freeze_between_call_and_stop(record, engine, asked_to_stop):
+    """Freezes the engine while it has the call to stop a run and its present step is not over. A freeze that comes too
+    late for a run ends at once, and the next run's call is awaited."""
+    for _ in range(STREAMS):
+        try:
+            run = await asyncio.wait_for(asked_to_stop.get(), 3.0)
+        except asyncio.TimeoutError:
+            break
+        await asyncio.sleep(0.1)
+        if any(line.startswith("stopped " + run) for line in engine.lines):
+            engine.process.send_signal(signal.SIGCONT)
+            continue
+        engine.on_line = None
+        record.write("%s is stopped (SIGSTOP) for %.1f s, asked to stop %s" % (engine.entry.id, FROZEN_S, run))
+        await asyncio.sleep(FROZEN_S - 0.1)
+        engine.process.send_signal(signal.SIGCONT)
+        record.write("%s goes on" % engine.entry.id)
+        return
+    raise kit.CannotRun("no run was asked to stop while the engine froze")
+
+
 async def play(record, folder, processes):
     store = kit.Store()
     await store.listen()
@@ -84,13 +104,12 @@
     await asyncio.sleep(1.0)
     beats.append(asyncio.create_task(kit.beats(store, other.entry)))
     await asyncio.sleep(0.6)
-    stopping = []
+    asked_to_stop = asyncio.Queue()
 
     def freeze(line):
-        if line.startswith("last ") and not stopping:
+        if line.startswith("last "):
             leaver.process.send_signal(signal.SIGSTOP)
-            stopping.append(line.split()[1])
-            record.write("%s is stopped (SIGSTOP) for %.1f s" % (leaver.entry.id, FROZEN_S))
+            asked_to_stop.put_nowait(line.split()[1])
 
     if kit.TROUBLE:
         leaver.on_line = freeze
@@ -98,14 +117,7 @@
     store.put(leaver.entry.key, leaver.entry.entry())
     record.write("%s reports that it is draining" % leaver.entry.id)
     if kit.TROUBLE:
-        end = time.monotonic() + 3.0
-        while not stopping and time.monotonic() < end:
-            await asyncio.sleep(0.01)
-        if not stopping:
-            raise kit.CannotRun("no run was moved")
-        await asyncio.sleep(FROZEN_S)
-        leaver.process.send_signal(signal.SIGCONT)
-        record.write("%s goes on" % leaver.entry.id)
+        await freeze_between_call_and_stop(record, leaver, asked_to_stop)
     wrong = 0
     whole = 0
     for answer in await asyncio.gather(*asked):
--- a/review/common-3/kit.py
+++ b/review/common-3/kit.py
@@ -109,7 +109,7 @@
 
 
 def head(status, fields):
-    reason = {200: "OK", 404: "Not Found", 410: "Gone", 421: "Misdirected Request", 503: "Service Unavailable"}
+    reason = {200: "OK", 400: "Bad Request", 404: "Not Found", 410: "Gone", 421: "Misdirected Request", 503: "Service Unavailable"}
     lines = "".join("%s: %s\r\n" % field for field in fields)
     return ("HTTP/1.1 %d %s\r\n%s\r\n" % (status, reason.get(status, "Status"), lines)).encode()
 
--- a/review/common-3/model_engine.py
+++ b/review/common-3/model_engine.py
@@ -15,8 +15,8 @@
 
 EVENTS = 150
 STEP_S = 0.05
-# Time for which a call to copy or to stop a run waits for the link.
-LINK_WAIT_S = 0.15
+# Time that the copy of a run takes on the link.
+COPY_S = 0.15
 SOURCE = "Kv" "-From"
 MOVE = "/api" "/kv" "-move"
 
@@ -82,10 +82,12 @@
         if run is None:
             return await self.reply(writer, 404, {})
         say("%s %s" % ("last" if call.get("last") else "copy", call["id"]))
-        await asyncio.sleep(LINK_WAIT_S)
         if call.get("last"):
+            # The run stops first, at the end of its present step.
             run.stopping = True
             await run.stopped.wait()
+        else:
+            await asyncio.sleep(COPY_S)
         return await self.reply(writer, 200, {"handle": call["id"], "created": run.made})
 
     @staticmethod
