Check every part of a head where it is written

Cause: read_endpoint_item takes any id, and append_attempt_fields wrote it into the head as it was. An id with a line end ends the head, so that the fields behind it become the body. The handle of a copied run and the id of a stream's last event took the same way. By a test, not by a case: addresses, as parse_address accepted a NUL or the zone of an IPv6 address with any text.

Ruled out: the parser, which rejects such bytes in what callers and engines send as heads.

Change: http_head_builder is the only writer of heads that carry texts of other systems, and gives its text out only as a result, so that a field added later is checked as well. A request with an error fails as invalid_head before a connection is opened: not run, no endpoint blamed, rejected at once. Ids, handles and addresses have a narrower grammar where they are read; an entry with another id names no endpoint and is logged once with its key escaped. A run whose last event id cannot be sent is not copied.

Tests changed: the three that compare the text of heads now include the blank line that the builder appends.

--- a/libs/core/tests/core_test.cpp
+++ b/libs/core/tests/core_test.cpp
@@ -2,11 +2,14 @@
 
 #include <parsleyshift/core/bounded_ring.hpp> // bounded_ring
 #include <parsleyshift/core/error.hpp>        // error, name_of, value_of
+#include <parsleyshift/core/field_text.hpp>   // escaped, is_field_value, is_identifier
 #include <parsleyshift/core/hash.hpp>         // rendezvous_score
 #include <parsleyshift/core/http_status.hpp>  // is_valid_status
 #include <parsleyshift/core/ids.hpp>          // request_id
 
-#include <string> // string
+#include <array>   // array
+#include <cstddef> // size_t
+#include <string>  // string
 
 using namespace parsleyshift;
 
@@ -83,3 +86,41 @@
         CHECK_FALSE(is_valid_status(status));
     }
 }
+
+// Guards against an identifier of another system that brings a line end into a head or is trimmed there, and against
+// one that is rejected although HTTP carries it unchanged.
+TEST(core, tells_identifiers_from_other_texts)
+{
+    for (const char* text : {"i-7f3a91c2", "a/b", "caf\xc3\xa9", "\"quoted\""})
+    {
+        CHECK_TEXT(is_identifier(text), text);
+    }
+    for (const char* text : {"", " ", "a b", "a\r\n", "a\n", "a\r", "\ta", "a\x7f"})
+    {
+        CHECK_FALSE_TEXT(is_identifier(text), text);
+    }
+    CHECK_FALSE(is_identifier(std::string_view{"a\0b", 3}));
+    CHECK_TRUE(is_identifier(std::string(192, 'x')));
+}
+
+// Guards against an arbitrary text that passes as a field value with a byte that RFC 9110 does not allow there.
+TEST(core, field_values_have_no_control_characters)
+{
+    for (int code = 0; code < 256; ++code)
+    {
+        const std::array<char, 3> text{'a', static_cast<char>(code), 'b'};
+        const bool is_allowed = code == '\t' || (code >= 0x20 && code != 0x7f);
+        CHECK_EQUAL(is_allowed, is_field_value({text.data(), text.size()}));
+    }
+    CHECK_TRUE(is_field_value(""));
+    CHECK_FALSE(is_field_value("a "));
+    CHECK_FALSE(is_field_value("\ta"));
+}
+
+// Guards against a message in which a text of another system forges a line, or one that a long text fills.
+TEST(core, shows_texts_escaped_and_shortened)
+{
+    STRCMP_EQUAL("a\\x0d\\x0ab\\x5c", escaped("a\r\nb\\").c_str());
+    const std::size_t shown_size = escaped(std::string(1'000, 'x')).size();
+    CHECK(shown_size < 100);
+}
--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -753,7 +753,7 @@
         pools_.endpoint_leaving(endpoint_);
     }
     else if (failure != attempt_failure::not_started && failure != attempt_failure::deadline_passed &&
-             failure != attempt_failure::not_sent)
+             failure != attempt_failure::not_sent && failure != attempt_failure::invalid_head)
     {
         state_.record_endpoint_failure(endpoint_);
     }
@@ -768,6 +768,10 @@
         select_endpoint();
         return;
     }
+    if (reject_if_unsendable(failed))
+    {
+        return;
+    }
     if (failure == attempt_failure::deadline_passed && state_.now < deadline_)
     {
         // `not_after` was the earlier of the deadline and `key_valid_until`, so the latter has passed.
@@ -778,6 +782,17 @@
     retry_or_reject(failure);
 }
 
+bool forwarded_request::reject_if_unsendable(const attempt_failed& failed)
+{
+    if (failed.failure != attempt_failure::invalid_head)
+    {
+        return false;
+    }
+    // Another attempt would write the same text.
+    reject(make_error(error_kind::internal, failed.message));
+    return true;
+}
+
 void forwarded_request::retry_or_reject(attempt_failure failure)
 {
     retry_conditions situation;
--- a/libs/decision_core/src/forwarded_request.hpp
+++ b/libs/decision_core/src/forwarded_request.hpp
@@ -205,6 +205,9 @@
     void start_attempt(const endpoint_id& endpoint);
     void end_attempt(run_end ending, bool completed);
     void retry_or_reject(attempt_failure failure);
+    /// Rejects the request if it cannot be written as HTTP.
+    /// @return true when it was rejected
+    bool reject_if_unsendable(const attempt_failed& failed);
     void reject_for_part(const part_verdict& verdict);
     /// Rejects a request whose prompt and first event exceed the memory of the service's engines.
     bool reject_if_too_large();
--- a/libs/decision_core/src/forwarded_request_relay.cpp
+++ b/libs/decision_core/src/forwarded_request_relay.cpp
@@ -71,6 +71,7 @@
         break;
     case attempt_failure::deadline_passed:
     case attempt_failure::not_sent:
+    case attempt_failure::invalid_head:
         break;
     default:
         state_.endpoint_answered();
@@ -93,6 +94,10 @@
         select_endpoint();
         return;
     }
+    if (reject_if_unsendable(failed))
+    {
+        return;
+    }
     if (proves_not_run(failed.failure) && failed.failure != attempt_failure::deadline_passed && needs_relay() &&
         start_relay())
     {
--- a/libs/decision_core/tests/rejected_answers_test.cpp
+++ b/libs/decision_core/tests/rejected_answers_test.cpp
@@ -78,3 +78,17 @@
         LONGS_EQUAL_TEXT(0, send_requests(path, faulty, 20), path.c_str());
     }
 }
+
+// Guards against a request that cannot be written and is sent again and again, or that ejects its endpoint.
+TEST(rejected_answers, do_not_include_requests_that_cannot_be_written)
+{
+    core.configure();
+    for (const std::string path : {"/non-idempotent/1", "/idempotent/1", "/stream/1"})
+    {
+        const request_id request = core.send_request(path);
+        core.feed(attempt_failed{core.last_start(request)->attempt, attempt_failure::invalid_head, "HTTP head"});
+        LONGS_EQUAL_TEXT(1, core.start_count(request), path.c_str());
+        CHECK_TEXT(rejection_outcome(request) == outcome::not_run, path.c_str());
+    }
+    LONGS_EQUAL(0, core.lines(log_event::endpoint_ejected));
+}
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <parsleyshift/core/clock.hpp>                     // millisecond_clock
+#include <parsleyshift/core/field_text.hpp>                // is_field_value
 #include <parsleyshift/core/hash.hpp>                      // stable_hasher
 #include <parsleyshift/forwarding/forwarding_protocol.hpp> // forwarding_protocol
 #include <parsleyshift/forwarding/http_relay.hpp>          // forwarded_request_head
@@ -354,8 +355,13 @@
         // An event stream that ended before the core delivered it is complete in body_.
         if (!is_event_stream() || !body_.empty())
         {
-            session.answer_raw(forwarded_response_head(head_, {false, body_.size(), session.keeps_alive()}),
-                               std::move(body_));
+            auto head = forwarded_response_head(head_, {false, body_.size(), session.keeps_alive()});
+            if (head.has_error())
+            {
+                session.abort();
+                return false;
+            }
+            session.answer_raw(std::move(head).value(), std::move(body_));
             return false;
         }
         streaming_ = true;
@@ -363,8 +369,13 @@
         if (!session.is_streaming())
         {
             const bool chunked = session.accepts_chunks();
-            session.begin_stream(
-                forwarded_response_head(head_, {chunked, std::nullopt, chunked && session.keeps_alive()}));
+            auto head = forwarded_response_head(head_, {chunked, std::nullopt, chunked && session.keeps_alive()});
+            if (head.has_error())
+            {
+                session.abort();
+                return false;
+            }
+            session.begin_stream(std::move(head).value());
         }
         return true;
     }
@@ -596,26 +607,26 @@
     http_call call;
     call.address = start.address;
     const std::shared_ptr<const http_request>& request = found->second.request;
-    call.text = forwarded_request_head(*request,
-                                       [&](std::string_view field) {
-                                           return protocol_.forwards_request_field(field) ||
-                                                  (start.relayed && protocol_.relays_request_field(field));
-                                       });
+    http_head_builder head = forwarded_request_head(*request,
+                                                    [&](std::string_view field) {
+                                                        return protocol_.forwards_request_field(field) ||
+                                                               (start.relayed && protocol_.relays_request_field(field));
+                                                    });
     start_forward attempt = start;
     if (attempt.continuation)
     {
         attempt.continuation->last_event = found->second.last_event_id;
     }
-    protocol_.append_attempt_fields(call.text, attempt, left);
-    call.text.append("\r\n");
+    protocol_.append_attempt_fields(head, attempt, left);
+    call.text = std::move(head).finish();
     if (request->body().size() > memory_budget::small_bytes)
     {
         call.body = std::shared_ptr<const std::string>(request, &request->body());
     }
-    else
+    else if (call.text.has_value())
     {
         // One write for head and body.
-        call.text.append(request->body());
+        call.text.value().append(request->body());
     }
     call.send_deadline = start.send_deadline;
     if (may_send_)
@@ -644,6 +655,12 @@
     {
         return;
     }
+    if (!is_field_value(found->second.last_event_id))
+    {
+        // The request that resumes the run could not state where it continues.
+        feed_(run_copied{copy.attempt, copy_result::refused, {}, 0});
+        return;
+    }
     const endpoint_call copy_call = protocol_.copy_call(copy, found->second.caller_id);
     http_call call;
     call.address = copy.source;
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarding_protocol.hpp
@@ -7,6 +7,7 @@
 #include <parsleyshift/messages/request.hpp>     // entry_query
 #include <parsleyshift/messages/store.hpp>       // store_page, store_changes, store_entry
 #include <parsleyshift/runtime/http_client.hpp>  // response_head
+#include <parsleyshift/runtime/http_head.hpp>    // http_head_builder
 #include <parsleyshift/runtime/http_session.hpp> // http_request
 
 #include <concepts>    // same_as
@@ -57,7 +58,7 @@
 /// @brief The wire protocol of forwarded requests towards callers and endpoints. It only translates; the core decides.
 template <class P>
 concept forwarding_protocol = requires(const P& protocol, const http_request& request, const start_forward& attempt,
-                                       duration left, const response_head& head, std::string& out,
+                                       duration left, const response_head& head, http_head_builder& out,
                                        std::string_view field, const request_rejected& rejected,
                                        const entry_answer& entries, const copy_run& copy)
 {
--- a/libs/forwarding/include/parsleyshift/forwarding/http_relay.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/http_relay.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <parsleyshift/runtime/http_client.hpp>  // response_head
+#include <parsleyshift/runtime/http_head.hpp>    // http_head_builder
 #include <parsleyshift/runtime/http_session.hpp> // http_request
 
 #include <cstddef>     // size_t
@@ -20,12 +21,12 @@
 /// fields of RFC 9110 and the fields that frame the body. Names are compared without regard to case.
 [[nodiscard]] bool is_connection_specific(std::string_view field);
 
-/// @brief Serializes the request line and the header fields of a forwarded request, without the final blank line.
+/// @brief Starts a head with the request line and the header fields of a forwarded request.
 ///
 /// Connection-specific fields and the fields that the Connection field names are left out. A request that has a body,
 /// or whose method allows one, gets a Content-Length.
 /// @param filter returns true for each of the remaining fields that is to be forwarded
-[[nodiscard]] std::string forwarded_request_head(const http_request& request, const field_filter& filter);
+[[nodiscard]] http_head_builder forwarded_request_head(const http_request& request, const field_filter& filter);
 
 /// @brief Framing of the response body on the caller's connection.
 struct response_framing
@@ -38,7 +39,8 @@
 
 /// @brief Serializes the head of a forwarded response, with the final blank line and without connection-specific
 /// fields.
-[[nodiscard]] std::string forwarded_response_head(const response_head& head, const response_framing& framing);
+/// @return error invalid_field for a part that a head cannot carry
+[[nodiscard]] result<std::string> forwarded_response_head(const response_head& head, const response_framing& framing);
 
 /// @brief Splits a text/event-stream into complete events.
 ///
--- a/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/store_reader.hpp
@@ -3,6 +3,7 @@
 #include <parsleyshift/configuration/source_relay.hpp>     // source_relay, source_peer
 #include <parsleyshift/configuration/store_watch.hpp>      // store_watch
 #include <parsleyshift/core/clock.hpp>                     // millisecond_clock
+#include <parsleyshift/core/field_text.hpp>                // escaped
 #include <parsleyshift/forwarding/forwarding_protocol.hpp> // store_protocol
 #include <parsleyshift/messages/event.hpp>                 // event
 #include <parsleyshift/messages/store.hpp>                 // store_read
@@ -438,14 +439,16 @@
         const auto item = watch_.items().find(key);
         if (item == watch_.items().end())
         {
+            rejected_.erase(key);
             return was_endpoint;
         }
         auto decoded = protocol_.read_item(item->second);
         if (decoded.has_error())
         {
-            callbacks_.on_rejected(decoded.error());
+            report_rejected(key, std::move(decoded).error());
             return was_endpoint;
         }
+        rejected_.erase(key);
         if (auto* configuration = std::get_if<forwarding_configuration>(&decoded.value()))
         {
             configuration_ = std::move(*configuration);
@@ -466,6 +469,18 @@
         }
         return was_endpoint;
     }
+    /// Reports an item that cannot be decoded, unless it had the same error before its last change.
+    void report_rejected(const std::string& key, error why)
+    {
+        std::string& reported = rejected_[key];
+        if (reported == why.detail)
+        {
+            return;
+        }
+        reported = why.detail;
+        why.detail = "item \"" + escaped(key) + "\": " + why.detail;
+        callbacks_.on_rejected(why);
+    }
     /// Reports the oddities of an item that evacuates a zone nevertheless.
     void report_evacuation(const evacuated_zone& item)
     {
@@ -529,6 +544,8 @@
     /// Era of the items that were last fed to the core.
     source_era published_era_;
     std::map<std::string, listed_instance> endpoints_;
+    /// Errors of the items that cannot be decoded, by their keys.
+    std::map<std::string, std::string> rejected_;
     /// Evacuated zones by the keys of their items.
     std::map<std::string, zone_id> evacuated_;
     std::vector<zone_id> fed_zones_;
--- a/libs/forwarding/src/http_relay.cpp
+++ b/libs/forwarding/src/http_relay.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm> // any_of
 #include <array>     // array
-#include <utility>   // exchange
+#include <utility>   // exchange, move
 
 namespace parsleyshift
 {
@@ -41,11 +41,6 @@
     return false;
 }
 
-void append_field(std::string& out, std::string_view name, std::string_view value)
-{
-    out.append(name).append(": ").append(value).append("\r\n");
-}
-
 } // namespace
 
 bool is_connection_specific(std::string_view field)
@@ -54,59 +49,56 @@
                        [field](std::string_view listed) { return equal_ignoring_case(listed, field); });
 }
 
-std::string forwarded_request_head(const http_request& request, const field_filter& filter)
+http_head_builder forwarded_request_head(const http_request& request, const field_filter& filter)
 {
-    std::string out;
-    out.append(to_string_view(request.method_string()))
-        .append(" ")
-        .append(to_string_view(request.target()))
-        .append(" HTTP/1.1\r\n");
+    http_head_builder head;
+    head.request_line(to_string_view(request.method_string()), to_string_view(request.target()));
     const std::string_view connection = to_string_view(request[beast::http::field::connection]);
     for (const auto& field : request)
     {
         const std::string_view name = to_string_view(field.name_string());
         if (!is_connection_specific(name) && !is_listed(connection, name) && filter(name))
         {
-            append_field(out, name, to_string_view(field.value()));
+            head.field(name, to_string_view(field.value()));
         }
     }
     const bool may_have_body =
         request.method() != beast::http::verb::get && request.method() != beast::http::verb::head;
     if (!request.body().empty() || may_have_body)
     {
-        append_field(out, "Content-Length", std::to_string(request.body().size()));
+        head.field("Content-Length", std::to_string(request.body().size()));
     }
-    return out;
+    return head;
 }
 
-std::string forwarded_response_head(const response_head& head, const response_framing& framing)
+result<std::string> forwarded_response_head(const response_head& head, const response_framing& framing)
 {
-    std::string out = "HTTP/1.1 " + std::to_string(head.result_int()) + ' ';
-    out.append(to_string_view(head.reason().empty() ? beast::http::obsolete_reason(head.result()) : head.reason()));
-    out.append("\r\n");
+    http_head_builder out;
+    out.status_line(
+        head.result_int(),
+        to_string_view(head.reason().empty() ? beast::http::obsolete_reason(head.result()) : head.reason()));
     const std::string_view connection = to_string_view(head[beast::http::field::connection]);
     for (const auto& field : head)
     {
         const std::string_view name = to_string_view(field.name_string());
         if (!is_connection_specific(name) && !is_listed(connection, name))
         {
-            append_field(out, name, to_string_view(field.value()));
+            out.field(name, to_string_view(field.value()));
         }
     }
     if (framing.chunked)
     {
-        append_field(out, "Transfer-Encoding", "chunked");
+        out.field("Transfer-Encoding", "chunked");
     }
     else if (framing.body_size)
     {
-        append_field(out, "Content-Length", std::to_string(*framing.body_size));
+        out.field("Content-Length", std::to_string(*framing.body_size));
     }
     if (!framing.keep_alive)
     {
-        append_field(out, "Connection", "close");
+        out.field("Connection", "close");
     }
-    out.append("\r\n");
-    return out;
+    return std::move(out).finish();
 }
 
 std::string_view event_splitter::append(std::string_view chunk)
--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -6,6 +6,7 @@
 #include <parsleyshift/forwarding/forwarder.hpp> // forwarder
 
 #include <algorithm>          // count_if
+#include <atomic>             // atomic
 #include <condition_variable> // condition_variable
 #include <cstddef>            // size_t
 #include <future>             // promise
@@ -15,6 +16,7 @@
 #include <mutex>              // mutex
 #include <string>             // string
 #include <thread>             // thread
+#include <variant>            // get_if, holds_alternative
 #include <vector>             // vector
 
 using namespace parsleyshift;
@@ -943,3 +945,84 @@
         CHECK(answer.ends_with("\r\n\r\nok"));
     }
 }
+
+// Guards against an id of an endpoint that ends the head of the request, so that the endpoint runs another one.
+TEST(forwarder, sends_no_request_whose_head_another_system_has_broken)
+{
+    for (const char* id : {"e\r\nx-id: 6", "e\r\n\r\n", "e\n", "e\x7f"})
+    {
+        std::atomic<int> requests = 0;
+        scripted_server endpoint(
+            [&requests](scripted_server::connection& from)
+            {
+                while (from.request())
+                {
+                    ++requests;
+                    from.send("HTTP/1.1 200 OK\r\nx-id: 5\r\nContent-Length: 0\r\n\r\n");
+                }
+            });
+        running_forwarder forwarder(
+            [&, core = simple_core(endpoint.address(), route_kind::once)](
+                const event& what, parsleyshift::forwarder<small_protocol>& tested) mutable
+            {
+                const auto* request = std::get_if<forward_request>(&what);
+                if (request == nullptr)
+                {
+                    core(what, tested);
+                    return;
+                }
+                start_forward start = start_at(endpoint.address(), request->request, 1, route_kind::once);
+                start.endpoint = endpoint_id{id};
+                tested.handle(start);
+            });
+        client caller(forwarder.port());
+        caller.send(request_text_of_caller);
+        CHECK(proves_not_run(forwarder.expect<attempt_failed>().failure));
+        LONGS_EQUAL(0, requests.load());
+    }
+}
+
+// Guards against a run that is stopped for a move although the request that resumes it cannot name the last event.
+TEST(forwarder, copies_no_run_whose_last_event_id_cannot_be_sent)
+{
+    for (const bool is_sound : {true, false})
+    {
+        std::atomic<int> copies = 0;
+        scripted_server copier(
+            [&copies](scripted_server::connection& from)
+            {
+                while (from.request())
+                {
+                    ++copies;
+                    from.send(http_ok("h"));
+                }
+            });
+        scripted_server endpoint(
+            [is_sound](scripted_server::connection& from)
+            {
+                from.request();
+                from.send(stream_head);
+                from.send_chunk(is_sound ? "id: 1\ndata: a\n\n" : "id: 1\rx-id: 6\ndata: a\n\n");
+                from.request();
+            });
+        running_forwarder forwarder(
+            [&, core = simple_core(endpoint.address(), route_kind::stream),
+             active = request_id{}](const event& what, parsleyshift::forwarder<small_protocol>& tested) mutable
+            {
+                if (const auto* request = std::get_if<forward_request>(&what))
+                {
+                    active = request->request;
+                }
+                core(what, tested);
+                if (std::holds_alternative<forward_progress>(what))
+                {
+                    tested.handle(copy_run{attempt_id{1}, active, copier.address(), "127.0.0.1:9", false});
+                }
+            });
+        client caller(forwarder.port());
+        caller.send(request_text_of_caller);
+        const copy_result result = forwarder.expect<run_copied>().result;
+        CHECK(result == (is_sound ? copy_result::complete : copy_result::refused));
+        LONGS_EQUAL(is_sound ? 1 : 0, copies.load());
+    }
+}
--- a/libs/forwarding/tests/http_relay_test.cpp
+++ b/libs/forwarding/tests/http_relay_test.cpp
@@ -32,8 +32,8 @@
     request.set(http::field::host, "h.example");
     request.set("X-Own", "value");
     request.chunked(true);
-    const std::string head = forwarded_request_head(request, accept_all);
-    STRCMP_EQUAL("POST /a%20b/?x=1&y HTTP/1.1\r\nHost: h.example\r\nX-Own: value\r\nContent-Length: 5\r\n",
+    const std::string head = forwarded_request_head(request, accept_all).finish().value();
+    STRCMP_EQUAL("POST /a%20b/?x=1&y HTTP/1.1\r\nHost: h.example\r\nX-Own: value\r\nContent-Length: 5\r\n\r\n",
                  head.c_str());
 }
 
@@ -48,7 +48,8 @@
     request.set(http::field::te, "trailers");
     request.set(http::field::expect, "100-continue");
     request.set("X-Own", "value");
-    STRCMP_EQUAL("GET / HTTP/1.1\r\nX-Own: value\r\n", forwarded_request_head(request, accept_all).c_str());
+    STRCMP_EQUAL("GET / HTTP/1.1\r\nX-Own: value\r\n\r\n",
+                 forwarded_request_head(request, accept_all).finish().value().c_str());
 }
 
 // Guards against a forwarded response that keeps the framing of the endpoint's connection.
@@ -63,8 +64,8 @@
     head.set("X-Signature", "s");
     STRCMP_EQUAL("HTTP/1.1 200 Fine\r\nContent-Type: text/event-stream\r\nX-Signature: s\r\n"
                  "Transfer-Encoding: chunked\r\n\r\n",
-                 forwarded_response_head(head, {true, 0, true}).c_str());
-    const std::string closing = forwarded_response_head(head, {false, 5, false});
+                 forwarded_response_head(head, {true, 0, true}).value().c_str());
+    const std::string closing = forwarded_response_head(head, {false, 5, false}).value();
     CHECK(contains(closing, "Content-Length: 5\r\n"));
     CHECK(contains(closing, "Connection: close\r\n"));
     CHECK_FALSE(contains(closing, "77"));
--- a/libs/forwarding/tests/small_protocol.hpp
+++ b/libs/forwarding/tests/small_protocol.hpp
@@ -37,17 +37,17 @@
     {
         return read_response(head, request);
     }
-    void append_attempt_fields(std::string& out, const start_forward& attempt, duration /*left*/) const
+    void append_attempt_fields(http_head_builder& out, const start_forward& attempt, duration /*left*/) const
     {
         if (attempt.relayed)
         {
-            out += "x-relayed: 1\r\n";
+            out.field("x-relayed", "1");
             return;
         }
-        out += "x-endpoint: " + attempt.endpoint.value() + "\r\n";
+        out.field("x-endpoint", attempt.endpoint.value());
         if (attempt.continuation)
         {
-            out += "x-after: " + attempt.continuation->last_event + "\r\n";
+            out.field("x-after", attempt.continuation->last_event);
         }
     }
     [[nodiscard]] response_evaluation read_response(const response_head& head,
--- a/libs/forwarding/tests/store_reader_test.cpp
+++ b/libs/forwarding/tests/store_reader_test.cpp
@@ -6,11 +6,13 @@
 
 #include <atomic>      // atomic
 #include <cstddef>     // size_t
+#include <cstdint>     // uint64_t
 #include <functional>  // function
-#include <string>      // string
+#include <string>      // string, to_string
 #include <string_view> // string_view
 #include <utility>     // move
 #include <variant>     // holds_alternative
+#include <vector>      // vector
 
 using namespace parsleyshift;
 using namespace parsleyshift::test_support;
@@ -56,14 +58,44 @@
     }
 };
 
+/// A store with one item that cannot be decoded and is written again after each watch.
+class odd_store_protocol : public empty_store_protocol
+{
+  public:
+    [[nodiscard]] result<store_page> read_page(std::string_view /*body*/) const
+    {
+        return store_page{{odd_item(1)}, false, revision{1}, source_era{1}};
+    }
+    [[nodiscard]] result<store_changes> read_changes(std::string_view /*body*/) const
+    {
+        const store_item changed = odd_item(++revision_);
+        return store_changes{{{changed.key, changed.value, changed.changed}}, changed.changed, source_era{1}};
+    }
+    [[nodiscard]] result<store_entry> read_item(const store_item& /*item*/) const
+    {
+        return make_error(error_kind::invalid_field, "id: is odd");
+    }
+
+  private:
+    static store_item odd_item(std::uint64_t number)
+    {
+        return {"servers/i-1\r\n", std::to_string(number), revision{number}};
+    }
+
+    mutable std::uint64_t revision_ = 1;
+};
+
 /// Reads a store until a function returns true for an event.
+/// @param rejected gets the errors of the items that cannot be decoded
 /// @return false when it has not returned true in time
-bool read_until(const scripted_server& store, std::function<bool(const event&)> is_last)
+template <class Protocol = empty_store_protocol>
+bool read_until(const scripted_server& store, std::function<bool(const event&)> is_last,
+                std::vector<error>* rejected = nullptr)
 {
     asio::io_context context{1};
-    const empty_store_protocol protocol;
+    const Protocol protocol;
     bool finished = false;
-    store_reader<empty_store_protocol>::callbacks functions;
+    typename store_reader<Protocol>::callbacks functions;
     functions.region_of = [](const zone_id& /*zone*/)
     {
         return region_id{};
@@ -82,7 +114,12 @@
             context.stop();
         }
     };
-    functions.on_rejected = [](const error& /*why*/) {
+    functions.on_rejected = [rejected](const error& why)
+    {
+        if (rejected != nullptr)
+        {
+            rejected->push_back(why);
+        }
     };
     functions.on_read = [](const store_read& /*read*/) {
     };
@@ -93,7 +130,7 @@
     functions.batch_done = [] {
     };
     constexpr double link_rate = 1'250.0;
-    store_reader<empty_store_protocol> reader(context, store.address(), protocol, 1, link_rate, std::move(functions));
+    store_reader<Protocol> reader(context, store.address(), protocol, 1, link_rate, std::move(functions));
     reader.start();
     context.run_for(safety_timeout);
     reader.close();
@@ -128,3 +165,25 @@
         CHECK_TEXT(listings <= 2, broken.c_str());
     }
 }
+
+// Guards against a log that an item of another writer fills or forges lines in, and against one that does not name it.
+TEST(store_reader, reports_an_unreadable_item_once_with_its_escaped_key)
+{
+    int watches = 0;
+    const scripted_server store(
+        [](scripted_server::connection& from)
+        {
+            while (from.request())
+            {
+                from.send(http_ok(""));
+            }
+        });
+    std::vector<error> rejected;
+    CHECK(read_until<odd_store_protocol>(
+        store,
+        [&watches](const event& what)
+        { return std::holds_alternative<configuration_confirmed>(what) && ++watches > 3; },
+        &rejected));
+    LONGS_EQUAL(1, rejected.size());
+    STRCMP_EQUAL("item \"servers/i-1\\x0d\\x0a\": id: is odd", rejected[0].detail.c_str());
+}
--- a/libs/messages/include/parsleyshift/messages/endpoint.hpp
+++ b/libs/messages/include/parsleyshift/messages/endpoint.hpp
@@ -78,6 +78,8 @@
     deadline_passed,
     /// The endpoint must not get the attempt any more, as was noticed before the write; nothing was sent.
     not_sent,
+    /// The head of the request would have had a part that HTTP does not allow; nothing was sent.
+    invalid_head,
     /// The connection could not be established; nothing was sent.
     connect_failed,
     /// The endpoint answered that it did not start the attempt.
@@ -97,6 +99,7 @@
 {
     static constexpr std::array rows{enum_name<attempt_failure>{attempt_failure::deadline_passed, "deadline_passed"},
                                      enum_name<attempt_failure>{attempt_failure::not_sent, "not_sent"},
+                                     enum_name<attempt_failure>{attempt_failure::invalid_head, "invalid_head"},
                                      enum_name<attempt_failure>{attempt_failure::connect_failed, "connect_failed"},
                                      enum_name<attempt_failure>{attempt_failure::not_started, "not_started"},
                                      enum_name<attempt_failure>{attempt_failure::leaving, "leaving"},
@@ -109,8 +112,8 @@
 constexpr bool proves_not_run(attempt_failure failure) noexcept
 {
     return failure == attempt_failure::deadline_passed || failure == attempt_failure::not_sent ||
-           failure == attempt_failure::connect_failed || failure == attempt_failure::not_started ||
-           failure == attempt_failure::leaving;
+           failure == attempt_failure::invalid_head || failure == attempt_failure::connect_failed ||
+           failure == attempt_failure::not_started || failure == attempt_failure::leaving;
 }
 
 /// @brief Action of a placement order.
--- a/libs/runtime/include/parsleyshift/runtime/http_client.hpp
+++ b/libs/runtime/include/parsleyshift/runtime/http_client.hpp
@@ -30,8 +30,9 @@
 {
     /// "ip:port".
     std::string address;
-    /// The request as sent: request line, header fields and body. See request_text().
-    std::string text;
+    /// The request as sent: request line, header fields and body. See request_text() and http_head_builder. With an
+    /// error, the exchange fails with invalid_head and nothing is sent.
+    result<std::string> text = std::string{};
     /// Bytes sent after the text; null when there are none. Saves the copy of a large body.
     std::shared_ptr<const std::string> body{};
     /// Send deadline, checked immediately before the first byte is written. After it the exchange fails with
@@ -60,8 +61,9 @@
 /// @brief Composes an HTTP/1.1 request with a JSON body.
 /// @param address value of the Host field
 /// @param body empty for requests without a body
-std::string request_text(std::string_view method, std::string_view target, std::string_view address,
-                         std::string_view body);
+/// @return error invalid_field for a target or an address that cannot be part of a head
+result<std::string> request_text(std::string_view method, std::string_view target, std::string_view address,
+                                 std::string_view body);
 
 /// @brief What a sink does with a response whose header it has received.
 enum class head_verdict
--- a/libs/runtime/src/http_client.cpp
+++ b/libs/runtime/src/http_client.cpp
@@ -2,6 +2,8 @@
 
 #include "http_exchange.hpp" // http_exchange, http_connection
 
+#include <parsleyshift/runtime/http_head.hpp> // http_head_builder
+
 #include <boost/asio/post.hpp> // post
 
 #include <algorithm> // find
@@ -48,18 +50,17 @@
 
 } // namespace
 
-std::string request_text(std::string_view method, std::string_view target, std::string_view address,
-                         std::string_view body)
+result<std::string> request_text(std::string_view method, std::string_view target, std::string_view address,
+                                 std::string_view body)
 {
-    std::string text;
-    text.reserve(128 + target.size() + body.size());
-    text.append(method).append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(address).append("\r\n");
+    http_head_builder head;
+    head.request_line(method, target).field("Host", address);
     if (!body.empty())
     {
-        text.append("Content-Type: application/json\r\n");
-        text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+        head.field("Content-Type", "application/json").field("Content-Length", std::to_string(body.size()));
     }
-    text.append("\r\n").append(body);
+    BOOST_OUTCOME_TRY(std::string text, std::move(head).finish());
+    text.append(body);
     return text;
 }
 
--- a/libs/runtime/src/http_exchange.cpp
+++ b/libs/runtime/src/http_exchange.cpp
@@ -109,6 +109,11 @@
     {
         return;
     }
+    if (call_.text.has_error())
+    {
+        fail(attempt_failure::invalid_head, call_.text.error().detail);
+        return;
+    }
     if (!call_.fresh_connection)
     {
         connection_ = client_.take_idle(call_.address);
@@ -209,7 +214,7 @@
     }
     last_progress_ = millisecond_clock::now();
     // Frees the request, which can contain a long prompt.
-    std::string{}.swap(call_.text);
+    std::string{}.swap(call_.text.value());
     call_.body.reset();
     written_ = 0;
     sent_ = true;
@@ -218,7 +223,7 @@
 
 std::string_view http_exchange::unwritten() const noexcept
 {
-    const std::string_view text = call_.text;
+    const std::string_view text = call_.text.value();
     if (written_ < text.size() || !call_.body)
     {
         return text.substr(written_);
--- a/libs/runtime/src/net.cpp
+++ b/libs/runtime/src/net.cpp
@@ -1,5 +1,7 @@
 #include <parsleyshift/runtime/net.hpp> // parse_address, listen_on
 
+#include <parsleyshift/core/field_text.hpp> // escaped, is_identifier
+
 #include <boost/asio/ip/address.hpp> // make_address
 
 #include <charconv> // from_chars
@@ -13,10 +15,11 @@
     const auto invalid_address = [&]
     {
         return make_error(error_kind::invalid_field,
-                          std::string(field) + ": \"" + std::string(address.substr(0, 64)) + "\" is not \"ip:port\"");
+                          std::string(field) + ": \"" + escaped(address.substr(0, 64)) + "\" is not \"ip:port\"");
     };
     const auto colon = address.rfind(':');
-    if (colon == std::string_view::npos)
+    // make_address() ends at a NUL and accepts any text as the zone of an IPv6 address.
+    if (colon == std::string_view::npos || !is_identifier(address))
     {
         return invalid_address();
     }
--- a/libs/runtime/tests/http_client_test.cpp
+++ b/libs/runtime/tests/http_client_test.cpp
@@ -4,6 +4,7 @@
 
 #include <parsleyshift/runtime/http_client.hpp> // http_client
 
+#include <atomic>     // atomic
 #include <chrono>     // milliseconds
 #include <cstddef>    // size_t
 #include <functional> // function
@@ -42,7 +43,10 @@
     http_client client(context, options);
     std::optional<http_result> result;
     call.address = server.address();
-    call.text = request_text("GET", "/", call.address, {});
+    if (call.text.has_value())
+    {
+        call.text = request_text("GET", "/", call.address, {});
+    }
     client.start(std::move(call),
                  [&](http_result received)
                  {
@@ -297,3 +301,24 @@
     CHECK(failure_after("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", 1) ==
           attempt_failure::endpoint_error);
 }
+
+// Guards against a request whose head cannot be written and that is sent all the same, or that counts as possibly run.
+TEST(http_client, sends_nothing_of_a_request_with_an_invalid_head)
+{
+    std::atomic<int> connections = 0;
+    const scripted_server server(
+        [&connections](scripted_server::connection& from)
+        {
+            ++connections;
+            from.request();
+        });
+    for (const std::string target : {"/x HTTP/1.1\r\nX: y\r\n\r\n", "/x\n", ""})
+    {
+        http_call call;
+        call.text = request_text("GET", target, server.address(), {});
+        const http_result result = response_of(server, std::move(call));
+        CHECK(result.error().failure == attempt_failure::invalid_head);
+        CHECK(proves_not_run(result.error().failure));
+    }
+    LONGS_EQUAL(0, connections.load());
+}
--- a/libs/wire/src/field_reader.cpp
+++ b/libs/wire/src/field_reader.cpp
@@ -1,5 +1,7 @@
 #include <parsleyshift/wire/field_reader.hpp> // field_reader
 
+#include <parsleyshift/core/field_text.hpp> // is_control
+
 #include <algorithm> // any_of, find
 
 namespace parsleyshift::detail
@@ -137,9 +139,7 @@
 
 bool field_reader::check_name(std::string_view name, std::string_view value)
 {
-    const bool has_control =
-        std::any_of(value.begin(), value.end(), [](char byte) { return static_cast<unsigned char>(byte) < 0x20; });
-    if (value.empty() || value.size() > max_name_bytes || has_control)
+    if (value.empty() || value.size() > max_name_bytes || std::any_of(value.begin(), value.end(), is_control))
     {
         invalid(name, "must be a name of 1 to 256 printable characters");
         return false;
