--- a/libs/forwarding/tests/store_reader_test.cpp
+++ b/libs/forwarding/tests/store_reader_test.cpp
@@ -79,7 +79,7 @@
   private:
     static store_item odd_item(std::uint64_t number)
     {
-        return {"servers/i-1\r\n", std::to_string(number), revision{number}};
+        return {"endpoints/i-1\r\n", std::to_string(number), revision{number}};
     }
 
     mutable std::uint64_t revision_ = 1;
@@ -185,5 +185,5 @@
         { return std::holds_alternative<configuration_confirmed>(what) && ++watches > 3; },
         &rejected));
     LONGS_EQUAL(1, rejected.size());
-    STRCMP_EQUAL("item \"servers/i-1\\x0d\\x0a\": id: is odd", rejected[0].detail.c_str());
+    STRCMP_EQUAL("item \"endpoints/i-1\\x0d\\x0a\": id: is odd", rejected[0].detail.c_str());
 }
