Remember a call to stop a run whose outcome is unknown

Cause: on_run_copied gives the move up when the call has no usable answer, and with it what the request knew of the call. on_completed then takes the close of the connection for a regular end, and the probe only tells that the engine's process runs.

Evidence: on these tests fail: unknown_stops.break_off_a_stream_that_is_closed_without_framing, unknown_stops.are_not_disproved_by_the_refusal_of_a_later_call, forwarding_moves.copies_a_run_once_at_a_time, forwarding_moves.resumes_in_place_when_the_destination_leaves, forwarder.stops_runs_on_connections_without_earlier_calls. Ruled out: streams with framing, whose missing end shows by itself, and the close before the unknown answer, which has failed the attempt already.

Change: the request remembers such a call until another engine continues the run; a close without framing is then no end. The answer is awaited for 5 s, so that one that is late by less lets the run go on elsewhere. Related: the call has a connection of its own, copies of a run are made one at a time, and a destination that leaves meanwhile is not used.

--- a/libs/decision_core/src/forwarded_request.cpp
+++ b/libs/decision_core/src/forwarded_request.cpp
@@ -453,6 +453,8 @@
 void forwarded_request::begin_attempt()
 {
     attempt_ = state_.next_attempt(attempt_owner::forward, request_.request);
+    copy_pending_ = false;
+    may_be_stopped_ = false;
     attempt_started_at_ = state_.now;
     last_progress_at_ = state_.now;
     tracker_.attempt_sent();
--- a/libs/decision_core/src/forwarded_request.hpp
+++ b/libs/decision_core/src/forwarded_request.hpp
@@ -150,6 +150,10 @@
     [[nodiscard]] bool can_move_to(const permit_grant& grant) const;
     void start_move(const permit_grant& grant);
     void cancel_move();
+    /// Emits a copy of the run that is being moved. Results name only the attempt, so one copy is made at a time.
+    void copy_run_to_destination(bool stop);
+    /// Whether the engine that the run was copied to may still continue it.
+    [[nodiscard]] bool may_use_destination(const run_move& stopped) const;
     /// Gives a move up whose destination is in a region that is not allowed any more, while the run is not stopped.
     void cancel_move_outside_regions();
     /// Whether the regions in force allow the stopped run to be resumed at the engine that the move has selected.
@@ -280,6 +284,11 @@
     int connect_failures_ = 0;
     std::optional<run_move> move_;
     int move_count_ = 0;
+    /// A copy_run action of the attempt in progress has no result yet.
+    bool copy_pending_ = false;
+    /// The engine may have got a call to stop the run of the attempt in progress, or may still get it: the call has
+    /// neither stopped the run nor been proved to have no effect. Later calls do not change this.
+    bool may_be_stopped_ = false;
     /// Size of the KV cache that the attempt is expected to need, in tokens.
     std::int64_t expected_memory_ = 0;
     int attempt_count_ = 0;
--- a/libs/decision_core/src/forwarded_request_end.cpp
+++ b/libs/decision_core/src/forwarded_request_end.cpp
@@ -15,6 +15,12 @@
         complete_stream(completed);
         return;
     }
+    if (may_be_stopped_)
+    {
+        // An engine that stops a run closes its stream in the same way, and its process still runs.
+        break_off_stream("its run may have been stopped for a move");
+        return;
+    }
     cancel_move();
     unconfirmed_end_ = completed;
     unconfirmed_since_ = state_.now;
--- a/libs/decision_core/src/forwarded_request_moves.cpp
+++ b/libs/decision_core/src/forwarded_request_moves.cpp
@@ -11,7 +11,7 @@
 {
     const bool is_running = permit_ && permit_->permit() && attempt_ != attempt_id{};
     const bool is_other_engine = is_running && grant.endpoint != endpoint_ && permit_->permit()->permit != grant.permit;
-    return is_other_engine && !move_ && !unconfirmed_end_ && admission_.capacity &&
+    return is_other_engine && !move_ && !copy_pending_ && !unconfirmed_end_ && admission_.capacity &&
            admission_.capacity->supports_run_moves && permit_->is_for_pool(grant) &&
            state_.obstacle_to_start(grant.endpoint, admission_.regions) == start_obstacle::none;
 }
@@ -26,7 +26,13 @@
     move_->destination_zone = destination->availability_zone;
     state_.log(log_event::run_moving, "id=" + request_.caller_id + " from=" + endpoint_.value() +
                                           " to=" + grant.endpoint.value() + " events=" + std::to_string(event_count_));
-    state_.emit(copy_run{attempt_, request_.request, move_->source_address, move_->destination_address, false});
+    copy_run_to_destination(false);
+}
+
+void forwarded_request::copy_run_to_destination(bool stop)
+{
+    copy_pending_ = true;
+    state_.emit(copy_run{attempt_, request_.request, move_->source_address, move_->destination_address, stop});
 }
 
 void forwarded_request::cancel_move()
@@ -55,8 +61,16 @@
     return admission_.regions.allows(state_.entries.region_of(zone));
 }
 
+bool forwarded_request::may_use_destination(const run_move& stopped) const
+{
+    // The destination may have been evacuated or have begun to leave while the run was copied.
+    const endpoint_entry* destination = state_.directory.find(stopped.new_permit.endpoint);
+    return destination != nullptr && !destination->leaving && !state_.is_evacuated(destination->endpoint);
+}
+
 void forwarded_request::on_run_copied(const run_copied& copy)
 {
+    copy_pending_ = false;
     if (!move_)
     {
         return;
@@ -64,7 +78,7 @@
     if (copy.result == copy_result::complete && !move_->stop_requested)
     {
         move_->stop_requested = true;
-        state_.emit(copy_run{attempt_, request_.request, move_->source_address, move_->destination_address, true});
+        copy_run_to_destination(true);
         return;
     }
     const bool has_stopped = copy.result == copy_result::complete || copy.result == copy_result::stopped_not_copied;
@@ -72,6 +86,8 @@
     {
         state_.log(log_event::run_moving, "id=" + request_.caller_id + " not moved: endpoint=" + endpoint_.value() +
                                               " result=" + std::string{name_of(copy.result)});
+        // The engine may have stopped the run, or still have the call in a queue.
+        may_be_stopped_ = may_be_stopped_ || (move_->stop_requested && copy.result == copy_result::unknown);
         const bool stream_lost = move_->stream_ended;
         const auto possible_completion = move_->possible_completion;
         cancel_move();
@@ -117,9 +133,7 @@
     }
     const run_move finished_move = std::move(*move_);
     move_.reset();
-    // The destination may have been evacuated while the run was copied.
-    const bool resumes_in_place =
-        finished_move.resumes_in_place || state_.is_evacuated(finished_move.new_permit.endpoint);
+    const bool resumes_in_place = finished_move.resumes_in_place || !may_use_destination(finished_move);
     tracker_.attempt_ran();
     if (resumes_in_place && state_.is_evacuated(endpoint_))
     {
--- a/libs/decision_core/tests/forwarding_moves_test.cpp
+++ b/libs/decision_core/tests/forwarding_moves_test.cpp
@@ -2,8 +2,9 @@
 
 #include "single_core.hpp" // single_core, core_fixture
 
-#include <set>    // set
-#include <vector> // vector
+#include <cstdint> // int64_t
+#include <set>     // set
+#include <vector>  // vector
 
 using namespace parsleyshift;
 using namespace parsleyshift::literals;
@@ -28,8 +29,116 @@
     }
 };
 
+/// Starts a stream without framing whose run is asked to stop by a call with an unknown result.
+struct unknown_stop_fixture : public move_fixture
+{
+    void lose_answer_to_stop()
+    {
+        core.configure();
+        request = core.send_request("/stream/1");
+        run = *core.last_start(request);
+        core.feed(forward_answered{run.attempt, answer_sign::success, false});
+        list_as_leaving(run.endpoint);
+        core.feed(run_copied{run.attempt, copy_result::complete, "h1", 0});
+        core.feed(forward_progress{run.attempt, 4});
+        core.feed(run_copied{run.attempt, copy_result::unknown, {}, 0});
+    }
+    void close_after(std::int64_t events)
+    {
+        core.feed(forward_completed{run.attempt, events, answer_end::connection_closed});
+        core.feed(endpoint_probed{run.endpoint, probe_result::alive, {}, run.attempt});
+    }
+    [[nodiscard]] bool is_complete() const
+    {
+        return core.delivered.size() == 2 && core.rejection(request) == nullptr;
+    }
+    [[nodiscard]] bool is_broken_off() const
+    {
+        return core.delivered.size() == 1 && rejection_kind(request) == error_kind::incomplete_answer;
+    }
+
+    request_id request;
+    start_forward run;
+};
+
 } // namespace
 
+TEST_GROUP_BASE(unknown_stops, unknown_stop_fixture){};
+
+// Guards against a part of a stream that its caller gets as complete, because its engine stopped the run when it read
+// the call late, after the move had been given up.
+TEST(unknown_stops, break_off_a_stream_that_is_closed_without_framing)
+{
+    lose_answer_to_stop();
+    POINTERS_EQUAL(nullptr, core.rejection(request));
+    close_after(5);
+    CHECK(is_broken_off());
+    CHECK(rejection_outcome(request) == outcome::failed);
+}
+
+// Guards against a lost call that is forgotten because a later call to the same engine was refused.
+TEST(unknown_stops, are_not_disproved_by_the_refusal_of_a_later_call)
+{
+    lose_answer_to_stop();
+    core.advance(200_ms);
+    LONGS_EQUAL(3, core.copies.size());
+    core.feed(run_copied{run.attempt, copy_result::complete, "h2", 4});
+    LONGS_EQUAL(4, core.copies.size());
+    core.feed(run_copied{run.attempt, copy_result::refused, {}, 0});
+    close_after(5);
+    CHECK(is_broken_off());
+}
+
+// Guards against a run that could be resumed and is not, because its engine has answered the call late.
+TEST(unknown_stops, are_resolved_by_a_late_answer)
+{
+    core.configure();
+    request = core.send_request("/stream/1");
+    run = *core.last_start(request);
+    core.feed(forward_answered{run.attempt, answer_sign::success, false});
+    list_as_leaving(run.endpoint);
+    core.feed(run_copied{run.attempt, copy_result::complete, "h1", 0});
+    for (std::int64_t events = 1; events <= 4; ++events)
+    {
+        core.advance(1_s);
+        core.feed(configuration_confirmed{core.now});
+        core.feed(forward_progress{run.attempt, events});
+    }
+    core.feed(forward_completed{run.attempt, 5, answer_end::connection_closed});
+    core.feed(run_copied{run.attempt, copy_result::complete, "h2", 5});
+    LONGS_EQUAL(2, core.start_count(request));
+    LONGS_EQUAL(1, core.delivered.size());
+    POINTERS_EQUAL(nullptr, core.rejection(request));
+}
+
+// Guards against complete streams that are broken off because the answer to a call was lost.
+TEST(unknown_stops, leave_streams_complete_whose_end_is_certain)
+{
+    lose_answer_to_stop();
+    core.feed(forward_completed{run.attempt, 5, answer_end::framed});
+    CHECK(is_complete());
+    core = single_core{};
+    lose_answer_to_stop();
+    // The token limit of the request.
+    core.feed(forward_completed{run.attempt, 100, answer_end::connection_closed});
+    CHECK(is_complete());
+}
+
+// Guards against a lost call that counts for the engine that has continued the run since.
+TEST(unknown_stops, do_not_concern_the_engine_that_continues_the_run)
+{
+    lose_answer_to_stop();
+    core.advance(200_ms);
+    core.feed(run_copied{run.attempt, copy_result::complete, "h2", 4});
+    core.feed(run_copied{run.attempt, copy_result::complete, "h3", 4});
+    LONGS_EQUAL(2, core.start_count(request));
+    run = *core.last_start(request);
+    core.feed(forward_answered{run.attempt, answer_sign::success, false});
+    core.delivered.resize(1);
+    close_after(9);
+    CHECK(is_complete());
+}
+
 TEST_GROUP_BASE(forwarding_moves, move_fixture){};
 
 // Guards against a run that is lost with its leaving engine, continues at two engines, or is resumed before its last
@@ -162,6 +271,43 @@
     LONGS_EQUAL(2, core.copies.size());
 }
 
+// Guards against the result of a copy for a move that was given up, taken for that of a later copy: a refusal would
+// hide that the later call is still under way.
+TEST(forwarding_moves, copies_a_run_once_at_a_time)
+{
+    core.configure();
+    const request_id request = core.send_request("/stream/1");
+    const start_forward first = *core.last_start(request);
+    core.feed(forward_answered{first.attempt, answer_sign::success, false});
+    list_as_leaving(first.endpoint);
+    LONGS_EQUAL(1, core.copies.size());
+    core.feed(zones_evacuated{{zone_id{"z"}}});
+    core.feed(zones_evacuated{{}});
+    core.advance(400_ms);
+    LONGS_EQUAL(1, core.copies.size());
+    core.feed(run_copied{first.attempt, copy_result::complete, "h1", 2});
+    LONGS_EQUAL(1, core.copies.size());
+    core.advance(400_ms);
+    LONGS_EQUAL(2, core.copies.size());
+    CHECK_FALSE(core.copies[1].stop);
+}
+
+// Guards against a run that is resumed at an engine that has begun to leave while the run was copied.
+TEST(forwarding_moves, resumes_in_place_when_the_destination_leaves)
+{
+    core.configure();
+    const request_id request = core.send_request("/stream/1");
+    const start_forward first = *core.last_start(request);
+    core.feed(forward_answered{first.attempt, answer_sign::success, false});
+    core.feed(forward_progress{first.attempt, 2});
+    list_as_leaving(first.endpoint);
+    core.feed(run_copied{first.attempt, copy_result::complete, "h1", 2});
+    core.list({make_endpoint("w1", engine_service, true), make_endpoint("w2", engine_service, true)});
+    core.feed(run_copied{first.attempt, copy_result::complete, "h2", 2});
+    LONGS_EQUAL(2, core.start_count(request));
+    CHECK(core.last_start(request)->endpoint == first.endpoint);
+}
+
 // Guards against a second run of a request whose first run was stopped for a move: when the destination engine proves
 // that it did not resume the run, the first engine has still run it.
 TEST(forwarding_moves, does_not_restart_a_run_that_was_not_resumed)
--- a/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
+++ b/libs/forwarding/include/parsleyshift/forwarding/forwarder.hpp
@@ -96,6 +96,9 @@
     /// Maximum time for the response to a copy call. An engine exits sooner than this after it announces that it
     /// leaves, so a leaving engine cannot respond later.
     static constexpr duration copy_timeout{2'500};
+    /// Maximum time for the response to a copy call that stops the run. The engine may stop the run whenever it handles
+    /// the call, and only the response says where the run can be resumed. Engines keep a copy for about as long.
+    static constexpr duration stop_timeout{5'000};
     /// Maximum size of the response to a copy call.
     static constexpr std::size_t max_copy_response_bytes = std::size_t{16} * 1024;
     static constexpr std::size_t max_buffered_response_bytes = response_memory::max_response_bytes;
@@ -665,7 +668,9 @@
     http_call call;
     call.address = copy.source;
     call.text = request_text(copy_call.method, copy_call.target, copy.source, copy_call.body);
-    call.response_deadline = millisecond_clock::now() + copy_timeout;
+    call.response_deadline = millisecond_clock::now() + (copy.stop ? stop_timeout : copy_timeout);
+    // On a connection with earlier calls, a late response to one of them could be taken for the response to this one.
+    call.fresh_connection = copy.stop;
     call.body_limit = max_copy_response_bytes;
     client_.start(std::move(call),
                   [this, attempt = copy.attempt, stop = copy.stop](const http_result& response)
--- a/libs/forwarding/tests/forwarder_test.cpp
+++ b/libs/forwarding/tests/forwarder_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>          // count_if
 #include <atomic>             // atomic
+#include <chrono>             // milliseconds
 #include <condition_variable> // condition_variable
 #include <cstddef>            // size_t
 #include <future>             // promise
@@ -1026,3 +1027,46 @@
         LONGS_EQUAL(is_sound ? 1 : 0, copies.load());
     }
 }
+
+// Guards against a late response to an earlier call that is taken for the response to the call that stops a run.
+TEST(forwarder, stops_runs_on_connections_without_earlier_calls)
+{
+    scripted_server copier(
+        [](scripted_server::connection& from)
+        {
+            // The connection stays open for a while, but no further call on it is answered.
+            from.request();
+            from.send(http_ok("h"));
+            std::this_thread::sleep_for(std::chrono::milliseconds{200});
+        });
+    scripted_server endpoint(
+        [](scripted_server::connection& from)
+        {
+            from.request();
+            from.send(stream_head);
+            from.send_chunk("id: 1\ndata: a\n\n");
+            from.request();
+        });
+    running_forwarder forwarder(
+        [&, core = simple_core(endpoint.address(), route_kind::stream), active = request_id{},
+         copies = 0](const event& what, parsleyshift::forwarder<small_protocol>& tested) mutable
+        {
+            if (const auto* request = std::get_if<forward_request>(&what))
+            {
+                active = request->request;
+            }
+            core(what, tested);
+            const bool is_copied = std::holds_alternative<run_copied>(what);
+            if (std::holds_alternative<forward_progress>(what) || (is_copied && ++copies == 1))
+            {
+                tested.handle(copy_run{attempt_id{1}, active, copier.address(), "127.0.0.1:9", is_copied});
+            }
+        });
+    client caller(forwarder.port());
+    caller.send(request_text_of_caller);
+    while (forwarder.count<run_copied>() < 2)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
+    CHECK(forwarder.expect<run_copied>().result == copy_result::complete);
+}
